--- /dev/null
+++ b/include/yuccaspan/error.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// \brief Errors as values: a code, a text, and the place the error was found at.
+#pragma once
+
+#include "yuccaspan/enum_names.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <ostream>
+#include <string>
+
+namespace yuccaspan {
+
+/// \brief What kind of failure an Error describes.
+enum class ErrorCode {
+    InvalidArgument, ///< A value is outside its documented range.
+    ParseFailed, ///< The text is not well-formed.
+    SchemaViolation, ///< The text is well-formed but does not match its schema.
+    UnsupportedSchema, ///< The value was written by a newer program.
+    NotFound, ///< The named object does not exist.
+    Conflict, ///< A conditional update found another version.
+    Unavailable, ///< The other side could not be reached or refused for now.
+    Timeout, ///< No answer within the deadline.
+    UnknownResult, ///< The operation may or may not have taken effect.
+    LimitExceeded, ///< A size or count limit would be exceeded.
+    Internal, ///< An error inside the program that is none of the above.
+};
+
+template <>
+struct EnumNames<ErrorCode>
+{
+    static constexpr std::array<EnumName<ErrorCode>, 11> table{{
+        {ErrorCode::InvalidArgument, "invalid-argument"},
+        {ErrorCode::ParseFailed, "parse-failed"},
+        {ErrorCode::SchemaViolation, "schema-violation"},
+        {ErrorCode::UnsupportedSchema, "unsupported-schema"},
+        {ErrorCode::NotFound, "not-found"},
+        {ErrorCode::Conflict, "conflict"},
+        {ErrorCode::Unavailable, "unavailable"},
+        {ErrorCode::Timeout, "timeout"},
+        {ErrorCode::UnknownResult, "unknown-result"},
+        {ErrorCode::LimitExceeded, "limit-exceeded"},
+        {ErrorCode::Internal, "internal"},
+    }};
+};
+
+/// \brief A place in a document. Line and column start at 1; 0 means not known.
+struct SourcePlace
+{
+    std::string file; ///< File name, or empty.
+    std::string pointer; ///< JSON pointer within the file, or empty.
+    std::uint32_t line = 0; ///< Line, from 1.
+    std::uint32_t column = 0; ///< Column, from 1.
+
+    [[nodiscard]] friend bool operator==(const SourcePlace &, const SourcePlace &) = default;
+};
+
+/// \brief An error: its kind, a text for a person, and where it was found.
+struct Error
+{
+    ErrorCode code = ErrorCode::Internal; ///< Kind of the failure.
+    std::string text; ///< One sentence for a person.
+    SourcePlace place; ///< Where the error was found; empty if it has no place.
+
+    [[nodiscard]] friend bool operator==(const Error &, const Error &) = default;
+};
+
+/// \brief Writes "file:line:column#pointer".
+inline std::ostream &operator<<(std::ostream &stream, const SourcePlace &place)
+{
+    stream << place.file;
+    if (place.line != 0)
+        stream << ':' << place.line << ':' << place.column;
+    if (!place.pointer.empty())
+        stream << '#' << place.pointer;
+    return stream;
+}
+
+/// \brief Writes "place: code: text".
+inline std::ostream &operator<<(std::ostream &stream, const Error &error)
+{
+    if (error.place != SourcePlace{})
+        stream << error.place << ": ";
+    return stream << error.code << ": " << error.text;
+}
+
+} // namespace yuccaspan
