Interfaces of admission and balancing

Cause: the data path, the placement core and the policy are written side by side and meet at these two headers.

Conclusion: no behaviour yet.

--- a/include/yuccaspan/yuccaspan.hpp
+++ b/include/yuccaspan/yuccaspan.hpp
@@ -2,6 +2,8 @@
 /// \brief Includes every public header of the library.
 #pragma once
 
+#include "yuccaspan/admission.hpp"
+#include "yuccaspan/balancer.hpp"
 #include "yuccaspan/cell_record.hpp"
 #include "yuccaspan/clock.hpp"
 #include "yuccaspan/enum_names.hpp"
