Interfaces of settings, HTTP store and administration API

Cause: the daemon needs the headers of settings reading, the store client and the administration API before their sources are written. Conclusion: headers only; the sources follow.

--- a/include/yuccaspan/yuccaspan.hpp
+++ b/include/yuccaspan/yuccaspan.hpp
@@ -2,7 +2,9 @@
 /// \brief Includes every public header of the library.
 #pragma once
 
+#include "yuccaspan/admin.hpp"
 #include "yuccaspan/admission.hpp"
+#include "yuccaspan/backoff.hpp"
 #include "yuccaspan/balancer.hpp"
 #include "yuccaspan/cell_record.hpp"
 #include "yuccaspan/clock.hpp"
@@ -10,6 +12,7 @@
 #include "yuccaspan/error.hpp"
 #include "yuccaspan/fwd.hpp"
 #include "yuccaspan/ids.hpp"
+#include "yuccaspan/instance_status.hpp"
 #include "yuccaspan/key_range.hpp"
 #include "yuccaspan/outcome.hpp"
 #include "yuccaspan/peer_message.hpp"
@@ -17,5 +20,7 @@
 #include "yuccaspan/result.hpp"
 #include "yuccaspan/route_table.hpp"
 #include "yuccaspan/settings.hpp"
+#include "yuccaspan/settings_io.hpp"
 #include "yuccaspan/store.hpp"
+#include "yuccaspan/store_http.hpp"
 #include "yuccaspan/target_order.hpp"
