--- a/include/yuccaspan/balancer.hpp
+++ b/include/yuccaspan/balancer.hpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,6 +26,7 @@
     bool cold = false; ///< Has just started.
     double slowdown = 1; ///< Worst slowdown that instances agree on; 1 is usual.
     Duration slowFor{}; ///< For how long it has been slow.
+    std::optional<double> otherLoad; ///< Busy slots for other cells' slices, if known.
 };
 
 /// \brief Everything that a plan depends on.
--- a/include/yuccaspan/peer_message.hpp
+++ b/include/yuccaspan/peer_message.hpp
@@ -57,6 +57,7 @@
     TargetId target; ///< Which target.
     double slots = 0; ///< Requests at once; may be a fraction of one.
     std::uint32_t connections = 0; ///< Connections at once.
+    std::uint32_t coldSlots = 0; ///< Requests at once while the target is starting.
 };
 
 /// \brief A placer tells an entry instance the routes of a cell and renews its view lease.
--- /dev/null
+++ b/src/admission/repeat_budget.cpp
@@ -0,0 +1,27 @@
+#include "yuccaspan/admission.hpp"
+
+#include <algorithm>
+
+namespace yuccaspan {
+
+namespace {
+/// Most repeats that can be saved up while nothing is repeated.
+constexpr double maxSavedRepeats = 10;
+/// Sums of shares such as 0.1 fall just short of a whole repeat.
+constexpr double roundingSlack = 1e-9;
+} // namespace
+
+void RepeatBudget::firstTry() noexcept
+{
+    m_tokens = std::min(m_tokens + m_share, std::max(maxSavedRepeats * m_share * 10, 1.0));
+}
+
+bool RepeatBudget::takeRepeat() noexcept
+{
+    if (m_share <= 0 || m_tokens + roundingSlack < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+} // namespace yuccaspan
--- /dev/null
+++ b/src/placement_policy/balancer.cpp
@@ -0,0 +1,306 @@
+/// Plans the changes of one cell: unusable owners first, then imbalance, then merging.
+#include "placement_policy/capacity_tracker.hpp"
+#include "placement_policy/cell_model.hpp"
+#include "placement_policy/slice_split.hpp"
+
+#include "yuccaspan/balancer.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace yuccaspan {
+
+namespace impl {
+
+namespace {
+
+/// Relief begins when a target's load to capacity exceeds the mean by this factor.
+constexpr double reliefTrigger = 1.17;
+/// Relief goes on until no target exceeds the mean by this factor.
+constexpr double reliefGoal = 1.1;
+/// A target takes no slice that would bring it beyond the mean by this factor.
+constexpr double receiverLimit = 1.08;
+/// A slice larger than what has to go, by this factor, is cut first.
+constexpr double splitFactor = 1.5;
+/// Time for which a slice that was moved for balance stays where it is.
+constexpr Duration moveCooldown = std::chrono::seconds(5);
+/// Load below which balance is not worth a move, in slots.
+constexpr double minReliefLoad = 0.2;
+/// Cells are merged beyond this many slices for each target.
+constexpr std::size_t mergeSlicesPerTarget = 24;
+/// Slices below this part of the mean slice load are merged.
+constexpr double mergeLoadFactor = 0.5;
+/// The home zone is helped out by other zones when its load to capacity exceeds all zones' by this.
+constexpr double lendTrigger = 1.2;
+/// Lending ends below this.
+constexpr double lendEnd = 1.1;
+/// Load to capacity up to which the home zone needs no help.
+constexpr double lendMinRatio = 0.5;
+
+} // namespace
+
+/// \brief The plan under construction.
+struct PlanDraft
+{
+    const BalanceInput &input;
+    CellModel model;
+    TimePoint now;
+    std::vector<PlannedChange> changes;
+    std::uint32_t movesLeft = 0;
+    std::size_t slicesLeft = 0;
+    std::set<std::size_t> cut; ///< Slices that are split or merged in this plan.
+};
+
+class CellBalancer final : public Balancer
+{
+public:
+    [[nodiscard]] std::vector<PlannedChange> plan(const BalanceInput &input,
+                                                  TimePoint now) override;
+
+private:
+    void chooseEligible(CellModel &model);
+    [[nodiscard]] bool shouldLend(const CellModel &model) const;
+    void evacuate(PlanDraft &draft);
+    void returnHome(PlanDraft &draft);
+    void relieve(PlanDraft &draft);
+    [[nodiscard]] bool relieveOnce(PlanDraft &draft, std::size_t hot, double mean);
+    [[nodiscard]] bool splitToFit(PlanDraft &draft, std::size_t slice, double wanted);
+    void merge(PlanDraft &draft) const;
+    void planMove(PlanDraft &draft, std::size_t slice, std::size_t target, std::string why);
+    [[nodiscard]] bool recentlyMoved(const KeyRange &range, TimePoint now) const;
+    void forgetOldMoves(TimePoint now);
+
+    CapacityTracker m_capacity;
+    std::map<KeyRange, TimePoint> m_moved;
+    bool m_relieving = false;
+    bool m_lending = false;
+};
+
+std::vector<PlannedChange> CellBalancer::plan(const BalanceInput &input, TimePoint now)
+{
+    forgetOldMoves(now);
+    PlanDraft draft{input, CellModel(input, m_capacity.update(input.targets, now)), now, {}, 0, 0,
+                    {}};
+    draft.movesLeft =
+        input.maxMoves > input.movesUnderWay ? input.maxMoves - input.movesUnderWay : 0;
+    const std::size_t slices = input.record->slices.size();
+    draft.slicesLeft = input.maxSlices > slices ? input.maxSlices - slices : 0;
+    chooseEligible(draft.model);
+    evacuate(draft);
+    returnHome(draft);
+    relieve(draft);
+    merge(draft);
+    return std::move(draft.changes);
+}
+
+bool CellBalancer::shouldLend(const CellModel &model) const
+{
+    double homeLoad = 0;
+    double homeCapacity = 0;
+    double allLoad = 0;
+    double allCapacity = 0;
+    for (const ModelTarget &target : model.targets) {
+        if (!target.usable || !target.warm)
+            continue;
+        allLoad += target.load;
+        allCapacity += target.capacity;
+        homeLoad += target.home ? target.load : 0;
+        homeCapacity += target.home ? target.capacity : 0;
+    }
+    if (homeCapacity <= 0 || allCapacity <= 0)
+        return true;
+    for (const ModelSlice &slice : model.slices) {
+        if (slice.owner == noTarget || !model.targets[slice.owner].home)
+            homeLoad += slice.load;
+    }
+    const double homeRatio = homeLoad / homeCapacity;
+    const double factor = m_lending ? lendEnd : lendTrigger;
+    return homeRatio > lendMinRatio && homeRatio > factor * allLoad / allCapacity;
+}
+
+void CellBalancer::chooseEligible(CellModel &model)
+{
+    const auto mark = [&](auto accept) {
+        bool any = false;
+        for (ModelTarget &target : model.targets) {
+            target.eligible = target.usable && accept(target);
+            any = any || target.eligible;
+        }
+        return any;
+    };
+    m_lending = shouldLend(model);
+    const auto warmHome = [](const ModelTarget &target) { return target.warm && target.home; };
+    const auto warm = [](const ModelTarget &target) { return target.warm; };
+    const auto home = [](const ModelTarget &target) { return target.home; };
+    if (!m_lending && mark(warmHome))
+        return;
+    if (mark(warm) || mark(home))
+        return;
+    mark([](const ModelTarget &) { return true; });
+}
+
+void CellBalancer::planMove(PlanDraft &draft, std::size_t slice, std::size_t target,
+                            std::string why)
+{
+    const KeyRange range = draft.model.slices[slice].range;
+    draft.changes.emplace_back(PlannedMove{range, draft.model.targets[target].id, std::move(why)});
+    draft.model.move(slice, target);
+    --draft.movesLeft;
+    m_moved[range] = draft.now;
+}
+
+void CellBalancer::evacuate(PlanDraft &draft)
+{
+    CellModel &model = draft.model;
+    std::vector<std::size_t> leaving;
+    for (std::size_t index = 0; index < model.slices.size(); ++index) {
+        const ModelSlice &slice = model.slices[index];
+        const bool stays = slice.owner != noTarget && model.targets[slice.owner].usable
+            && (model.targets[slice.owner].warm || model.targets[slice.owner].eligible);
+        if (!stays && !slice.moving)
+            leaving.push_back(index);
+    }
+    std::stable_sort(leaving.begin(), leaving.end(), [&](std::size_t left, std::size_t right) {
+        return model.slices[left].load > model.slices[right].load;
+    });
+    for (const std::size_t slice : leaving) {
+        const std::size_t target = model.coolest(model.slices[slice].load);
+        if (draft.movesLeft == 0 || target == noTarget)
+            return;
+        planMove(draft, slice, target, "owner not usable");
+    }
+}
+
+void CellBalancer::returnHome(PlanDraft &draft)
+{
+    CellModel &model = draft.model;
+    if (m_lending)
+        return;
+    for (std::size_t index = 0; index < model.slices.size(); ++index) {
+        const ModelSlice &slice = model.slices[index];
+        if (slice.moving || slice.owner == noTarget || model.targets[slice.owner].home)
+            continue;
+        const std::size_t target = model.coolest(slice.load);
+        if (draft.movesLeft == 0 || target == noTarget || !model.targets[target].home)
+            return;
+        planMove(draft, index, target, "home zone is back");
+    }
+}
+
+void CellBalancer::relieve(PlanDraft &draft)
+{
+    CellModel &model = draft.model;
+    if (model.totalLoad < minReliefLoad)
+        return;
+    const double mean = model.meanRatio();
+    while (draft.movesLeft > 0) {
+        std::size_t hot = noTarget;
+        for (std::size_t index = 0; index < model.targets.size(); ++index) {
+            const bool hotter =
+                hot == noTarget || model.targets[index].ratio() > model.targets[hot].ratio();
+            if (model.targets[index].eligible && hotter)
+                hot = index;
+        }
+        if (hot == noTarget)
+            return;
+        const double bound = mean * (m_relieving ? reliefGoal : reliefTrigger);
+        m_relieving = model.targets[hot].ratio() > bound;
+        if (!m_relieving || !relieveOnce(draft, hot, mean))
+            return;
+    }
+}
+
+bool CellBalancer::relieveOnce(PlanDraft &draft, std::size_t hot, double mean)
+{
+    CellModel &model = draft.model;
+    const double excess = model.targets[hot].load - mean * model.targets[hot].capacity;
+    std::size_t best = noTarget;
+    std::size_t smallestLarger = noTarget;
+    for (std::size_t index = 0; index < model.slices.size(); ++index) {
+        const ModelSlice &slice = model.slices[index];
+        if (slice.owner != hot || slice.moving || draft.cut.contains(index)
+            || recentlyMoved(slice.range, draft.now))
+            continue;
+        if (slice.load <= excess && (best == noTarget || slice.load > model.slices[best].load))
+            best = index;
+        if (slice.load > excess
+            && (smallestLarger == noTarget || slice.load < model.slices[smallestLarger].load))
+            smallestLarger = index;
+    }
+    const auto fits = [&](std::size_t index) {
+        const std::size_t cool = model.coolest(model.slices[index].load);
+        if (cool == noTarget || cool == hot)
+            return false;
+        const ModelTarget &target = model.targets[cool];
+        return target.load + model.slices[index].load <= receiverLimit * mean * target.capacity;
+    };
+    constexpr double usefulPart = 0.3;
+    const bool useful = best != noTarget && model.slices[best].load > usefulPart * excess;
+    if (useful && fits(best)) {
+        planMove(draft, best, model.coolest(model.slices[best].load), "target is overloaded");
+        return true;
+    }
+    if (smallestLarger != noTarget && splitToFit(draft, smallestLarger, excess))
+        return false;
+    if (best == noTarget || !fits(best))
+        return false;
+    planMove(draft, best, model.coolest(model.slices[best].load), "target is overloaded");
+    return true;
+}
+
+bool CellBalancer::splitToFit(PlanDraft &draft, std::size_t slice, double wanted)
+{
+    if (draft.slicesLeft == 0 || wanted <= 0)
+        return false;
+    const std::optional<KeyHash> position = splitPosition(draft.model.slices[slice], wanted);
+    if (!position)
+        return false;
+    draft.changes.emplace_back(PlannedSplit{draft.model.slices[slice].range, *position});
+    draft.cut.insert(slice);
+    --draft.slicesLeft;
+    return true;
+}
+
+void CellBalancer::merge(PlanDraft &draft) const
+{
+    const CellModel &model = draft.model;
+    const std::size_t usable =
+        std::count_if(model.targets.begin(), model.targets.end(),
+                      [](const ModelTarget &target) { return target.eligible; });
+    if (model.slices.size() <= mergeSlicesPerTarget * std::max<std::size_t>(1, usable))
+        return;
+    const double small =
+        mergeLoadFactor * model.totalLoad / static_cast<double>(model.slices.size());
+    for (std::size_t index = 0; index + 1 < model.slices.size(); ++index) {
+        const ModelSlice &lower = model.slices[index];
+        const ModelSlice &upper = model.slices[index + 1];
+        const bool busy = lower.moving || upper.moving || draft.cut.contains(index)
+            || draft.cut.contains(index + 1);
+        if (busy || lower.owner != upper.owner || lower.load + upper.load > small)
+            continue;
+        draft.changes.emplace_back(PlannedMerge{lower.range, upper.range});
+        return;
+    }
+}
+
+bool CellBalancer::recentlyMoved(const KeyRange &range, TimePoint now) const
+{
+    const auto found = m_moved.find(range);
+    return found != m_moved.end() && now - found->second < moveCooldown;
+}
+
+void CellBalancer::forgetOldMoves(TimePoint now)
+{
+    std::erase_if(m_moved, [&](const auto &entry) { return now - entry.second >= moveCooldown; });
+}
+
+} // namespace impl
+
+std::unique_ptr<Balancer> makeBalancer()
+{
+    return std::make_unique<impl::CellBalancer>();
+}
+
+} // namespace yuccaspan
--- /dev/null
+++ b/src/placement_policy/share_capacity.cpp
@@ -0,0 +1,62 @@
+/// Divides a target's slots and connections between entry instances.
+#include "yuccaspan/balancer.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccaspan {
+
+namespace {
+
+/// Part of the capacity that is divided evenly, so that a new demand meets a share at once.
+constexpr double evenPart = 0.3;
+
+/// \brief The one instance that may send to the target while it starts: rendezvous hashing, so
+/// that it seldom changes and that starting targets are spread over the instances.
+[[nodiscard]] InstanceId coldInstance(const TargetId &target,
+                                      const std::map<InstanceId, double> &demand)
+{
+    InstanceId best;
+    KeyHash bestHash = 0;
+    for (const auto &[instance, slots] : demand) {
+        const KeyHash hash = hashKey(target.text() + '/' + instance.text());
+        if (best.empty() || hash > bestHash) {
+            best = instance;
+            bestHash = hash;
+        }
+    }
+    return best;
+}
+
+/// \brief An instance's fraction of the whole, from its demand and the even part.
+[[nodiscard]] double fractionOf(double demand, double total, std::size_t instances)
+{
+    const double even = 1.0 / static_cast<double>(instances);
+    if (total <= 0)
+        return even;
+    return evenPart * even + (1 - evenPart) * std::max(0.0, demand) / total;
+}
+
+} // namespace
+
+std::map<InstanceId, CapacityShare> shareCapacity(const TargetSettings &target,
+                                                  const std::map<InstanceId, double> &demand)
+{
+    std::map<InstanceId, CapacityShare> shares;
+    double total = 0;
+    for (const auto &[instance, slots] : demand)
+        total += std::max(0.0, slots);
+    for (const auto &[instance, slots] : demand) {
+        const double fraction = fractionOf(slots, total, demand.size());
+        CapacityShare share;
+        share.target = target.id;
+        share.slots = fraction * target.slots;
+        share.connections = static_cast<std::uint32_t>(fraction * target.connections);
+        shares.emplace(instance, share);
+    }
+    if (!shares.empty())
+        shares[coldInstance(target.id, demand)].coldSlots = 1;
+    return shares;
+}
+
+} // namespace yuccaspan
--- /dev/null
+++ b/src/placement_policy/slice_split.cpp
@@ -0,0 +1,45 @@
+#include "placement_policy/slice_split.hpp"
+
+#include <algorithm>
+
+namespace yuccaspan::impl {
+
+namespace {
+
+/// A key is isolated if it carries this part of its slice's load.
+constexpr double isolatePart = 0.4;
+/// The cut leaves at least this part of the range on either side.
+constexpr double minRangePart = 0.1;
+
+[[nodiscard]] const HotKey *hottest(const ModelSlice &slice)
+{
+    const auto less = [](const HotKey &left, const HotKey &right) {
+        return left.load < right.load;
+    };
+    const auto found = std::max_element(slice.hotKeys.begin(), slice.hotKeys.end(), less);
+    return found == slice.hotKeys.end() ? nullptr : &*found;
+}
+
+/// \brief The position at which the wanted part of an even load lies below the cut.
+[[nodiscard]] KeyHash evenCut(const ModelSlice &slice, double wanted)
+{
+    const double part =
+        std::clamp(wanted / std::max(slice.load, 1e-9), minRangePart, 1 - minRangePart);
+    const auto width = static_cast<double>(slice.range.last - slice.range.first);
+    const auto offset = static_cast<KeyHash>(width * part);
+    return slice.range.first + std::max<KeyHash>(1, offset);
+}
+
+} // namespace
+
+std::optional<KeyHash> splitPosition(const ModelSlice &slice, double wanted)
+{
+    if (slice.range.first == slice.range.last)
+        return std::nullopt;
+    const HotKey *key = hottest(slice);
+    if (key == nullptr || key->load < isolatePart * slice.load)
+        return evenCut(slice, wanted);
+    return key->hash > slice.range.first ? key->hash : key->hash + 1;
+}
+
+} // namespace yuccaspan::impl
