--- /dev/null
+++ b/src/settings/json_reader.cpp
@@ -0,0 +1,207 @@
+#include "settings/json_reader.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace yuccaspan::impl {
+
+namespace {
+
+/// Line and column of a byte of a text.
+SourcePlace placeOf(const std::string &file, std::string_view text, std::size_t offset)
+{
+    const std::string_view before = text.substr(0, std::min(offset, text.size()));
+    const std::size_t lineBreak = before.rfind('\n');
+    const std::size_t lineStart = lineBreak == std::string_view::npos ? 0 : lineBreak + 1;
+    SourcePlace place;
+    place.file = file;
+    place.line = static_cast<std::uint32_t>(1 + std::ranges::count(before, '\n'));
+    place.column = static_cast<std::uint32_t>(1 + before.size() - lineStart);
+    return place;
+}
+
+/// Offset of the opening quote of a string that ends just before `end`.
+std::size_t openingQuote(std::string_view text, std::size_t end)
+{
+    if (end < 2)
+        return 0;
+    std::size_t at = end - 2;
+    while (at > 0) {
+        std::size_t backslashes = 0;
+        while (backslashes < at && text[at - 1 - backslashes] == '\\')
+            ++backslashes;
+        if (text[at] == '"' && backslashes % 2 == 0)
+            return at;
+        --at;
+    }
+    return 0;
+}
+
+/// Receives the parser's events: builds the document and notes the place of each member.
+class PlaceRecorder final : public nlohmann::json_sax<Json>
+{
+public:
+    PlaceRecorder(std::string file, std::string_view text, std::istream &stream)
+        : m_file(std::move(file)), m_text(text), m_stream(stream)
+    {
+        m_result.places[""] = SourcePlace{m_file, "", 1, 1};
+    }
+
+    ParsedJson take()
+    {
+        if (!m_result.errors.empty())
+            m_result.value = nullptr;
+        return std::move(m_result);
+    }
+
+    bool null() override { return addScalar(nullptr); }
+    bool boolean(bool value) override { return addScalar(value); }
+    bool number_integer(number_integer_t value) override { return addScalar(value); }
+    bool number_unsigned(number_unsigned_t value) override { return addScalar(value); }
+    bool number_float(number_float_t value, const string_t & /*text*/) override
+    {
+        return addScalar(value);
+    }
+    bool binary(binary_t & /*value*/) override { return false; }
+    bool string(string_t &value) override
+    {
+        if (value.size() > maxJsonStringBytes)
+            return fail(ErrorCode::LimitExceeded, "string is longer than 4096 bytes");
+        return addScalar(std::move(value));
+    }
+    bool start_object(std::size_t /*size*/) override { return open(Json::object()); }
+    bool end_object() override { return close(); }
+    bool start_array(std::size_t /*size*/) override { return open(Json::array()); }
+    bool end_array() override { return close(); }
+    bool key(string_t &name) override;
+    bool parse_error(std::size_t position, const std::string &lastToken,
+                     const nlohmann::detail::exception &failure) override;
+
+private:
+    struct Level
+    {
+        Json *container;
+        std::string pointer;
+    };
+
+    [[nodiscard]] std::size_t offset() const
+    {
+        const auto at = m_stream.rdbuf()->pubseekoff(0, std::ios::cur, std::ios::in);
+        return at < 0 ? m_text.size() : static_cast<std::size_t>(at);
+    }
+
+    bool fail(ErrorCode code, std::string text)
+    {
+        m_result.errors.push_back({code, std::move(text), placeOf(m_file, m_text, offset())});
+        return false;
+    }
+
+    Json *add(Json &&value)
+    {
+        if (m_levels.empty())
+            return &(m_result.value = std::move(value));
+        Json &container = *m_levels.back().container;
+        if (container.is_array()) {
+            container.push_back(std::move(value));
+            return &container.back();
+        }
+        return &(container[m_key] = std::move(value));
+    }
+
+    bool addScalar(Json &&value)
+    {
+        add(std::move(value));
+        return true;
+    }
+
+    bool open(Json &&empty)
+    {
+        if (m_levels.size() >= maxJsonDepth)
+            return fail(ErrorCode::LimitExceeded, "nested deeper than 32 levels");
+        const std::string pointer = nextPointer();
+        m_levels.push_back({add(std::move(empty)), pointer});
+        return true;
+    }
+
+    bool close()
+    {
+        m_levels.pop_back();
+        return true;
+    }
+
+    [[nodiscard]] std::string nextPointer() const
+    {
+        if (m_levels.empty())
+            return "";
+        const Level &level = m_levels.back();
+        if (level.container->is_array())
+            return childPointer(level.pointer, std::to_string(level.container->size()));
+        return childPointer(level.pointer, m_key);
+    }
+
+    std::string m_file;
+    std::string_view m_text;
+    std::istream &m_stream;
+    ParsedJson m_result;
+    std::vector<Level> m_levels;
+    std::string m_key;
+};
+
+bool PlaceRecorder::key(string_t &name)
+{
+    if (name.size() > maxJsonStringBytes)
+        return fail(ErrorCode::LimitExceeded, "key is longer than 4096 bytes");
+    m_key = name;
+    const std::string pointer = nextPointer();
+    SourcePlace place = placeOf(m_file, m_text, openingQuote(m_text, offset()));
+    place.pointer = pointer;
+    if (m_levels.back().container->contains(name))
+        m_result.errors.push_back({ErrorCode::ParseFailed, "key is given twice", place});
+    m_result.places[pointer] = std::move(place);
+    return true;
+}
+
+bool PlaceRecorder::parse_error(std::size_t position, const std::string & /*lastToken*/,
+                                const nlohmann::detail::exception &failure)
+{
+    std::string text = failure.what();
+    const std::size_t tag = text.find("] ");
+    if (tag != std::string::npos)
+        text.erase(0, tag + 2);
+    const std::size_t at = position == 0 ? 0 : position - 1;
+    m_result.errors.push_back({ErrorCode::ParseFailed, text, placeOf(m_file, m_text, at)});
+    return false;
+}
+
+} // namespace
+
+std::string childPointer(const std::string &parent, std::string_view key)
+{
+    std::string pointer = parent + '/';
+    for (const char letter : key) {
+        if (letter == '~')
+            pointer += "~0";
+        else if (letter == '/')
+            pointer += "~1";
+        else
+            pointer += letter;
+    }
+    return pointer;
+}
+
+ParsedJson parseJson(const std::string &file, std::string_view text)
+{
+    if (text.size() > maxDocumentBytes) {
+        ParsedJson tooLong;
+        tooLong.errors.push_back(
+            {ErrorCode::LimitExceeded, "longer than 1000000 bytes", {file, "", 0, 0}});
+        return tooLong;
+    }
+    std::istringstream stream{std::string(text)};
+    PlaceRecorder recorder(file, text, stream);
+    Json::sax_parse(stream, &recorder);
+    return recorder.take();
+}
+
+} // namespace yuccaspan::impl
