--- a/include/yuccaspan/store_http.hpp
+++ b/include/yuccaspan/store_http.hpp
@@ -68,6 +68,7 @@
     /// \brief The counts of calls. May be read from any thread.
     [[nodiscard]] virtual StoreCounters counters() const noexcept = 0;
     /// \brief Ends all calls with Unavailable or UnknownResult and joins the thread.
+    /// \warning Not from a callback, which runs on that thread.
     virtual void stop() = 0;
 };
 
--- /dev/null
+++ b/src/store/instance_status.cpp
@@ -0,0 +1,43 @@
+#include "yuccaspan/instance_status.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace yuccaspan {
+
+std::string instanceStatusPath(const InstanceId &id)
+{
+    std::string name = id.text();
+    std::ranges::replace(name, '#', '~');
+    return "status/" + name;
+}
+
+std::string encodeInstanceStatus(const InstanceStatusRecord &record)
+{
+    const nlohmann::json json{{"schema", 1},
+                              {"instance", record.id.text()},
+                              {"zone", record.zone.text()},
+                              {"settingsVersion", record.settingsVersion.value},
+                              {"leaving", record.leaving}};
+    return json.dump();
+}
+
+Result<InstanceStatusRecord> decodeInstanceStatus(std::string_view text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_discarded())
+        return Error{ErrorCode::ParseFailed, "not JSON", {}};
+    try {
+        InstanceStatusRecord record;
+        record.id = InstanceId(json.at("instance").get<std::string>());
+        record.zone = ZoneId(json.at("zone").get<std::string>());
+        record.settingsVersion = {json.at("settingsVersion").get<std::uint64_t>()};
+        record.leaving = json.at("leaving").get<bool>();
+        return record;
+    } catch (const nlohmann::json::exception &) {
+        return Error{ErrorCode::SchemaViolation, "not the status of an instance", {}};
+    }
+}
+
+} // namespace yuccaspan
