--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -27,6 +27,8 @@
     TargetOptions target;
     std::uint64_t serviceUs = 0;
     std::uint64_t coldMs = 0;
+    std::string checksGrants; ///< "true" or "false".
+    std::string ledger; ///< "true" or "false".
 };
 
 /// Event loops, each on a thread of its own.
@@ -152,19 +154,24 @@
         cxxopts::value(target.queueLimit)->default_value("64"))(
         "service-us", "Mean service time in microseconds",
         cxxopts::value(command.serviceUs)->default_value("2000"))(
-        "checks-grants", "Whether requests without a grant are refused",
-        cxxopts::value(target.checksGrants)->default_value("true"))(
+        "checks-grants", "true or false: refuse requests without a grant",
+        cxxopts::value(command.checksGrants)->default_value("true"))(
         "cold-ms", "How long a target is cold after its start, in milliseconds",
         cxxopts::value(command.coldMs)->default_value("0"))(
         "cold-slots", "Requests borne at once while cold",
         cxxopts::value(target.coldSlots)->default_value("1"))(
-        "ledger", "Whether runs are kept by request id",
-        cxxopts::value(target.keepLedger)->default_value("true"))(
+        "ledger", "true or false: keep runs by request id",
+        cxxopts::value(command.ledger)->default_value("true"))(
         "seed", "Seed of the spread of service times",
         cxxopts::value(target.seed)->default_value("1"));
     return parser;
 }
 
+bool isFlag(const std::string &text)
+{
+    return text == "true" || text == "false";
+}
+
 int run(int argc, char **argv)
 {
     Command command;
@@ -181,7 +188,10 @@
     }
     command.target.service = std::chrono::microseconds(command.serviceUs);
     command.target.cold = std::chrono::milliseconds(command.coldMs);
-    const bool sensible = parsed.unmatched().empty() && command.count > 0 && command.threads > 0
+    command.target.checksGrants = command.checksGrants == "true";
+    command.target.keepLedger = command.ledger == "true";
+    const bool sensible = isFlag(command.checksGrants) && isFlag(command.ledger)
+        && parsed.unmatched().empty() && command.count > 0 && command.threads > 0
         && command.threads <= maxThreads;
     if (sensible && role == "store")
         return runStore(command);
