--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -248,7 +248,8 @@
     m_report.add(record);
     if (m_ledger) {
         m_lines.append(call.id).append(1, ' ').append(toString(record.result));
-        m_lines.append(1, ' ').append(record.reason.empty() ? "-" : record.reason).append(1, '\n');
+        m_lines.append(1, ' ').append(record.reason.empty() ? "-" : record.reason);
+        m_lines.append(1, ' ').append(m_mix.kinds[call.kind].name).append(1, '\n');
         if (m_lines.size() >= ledgerFlushBytes) {
             m_ledger(m_lines);
             m_lines.clear();
--- a/src/load/load_runner.hpp
+++ b/src/load/load_runner.hpp
@@ -38,7 +38,7 @@
     bool poisson = true; ///< Poisson arrivals; otherwise equal spacing.
 };
 
-/// \brief Receives one line of the ledger for each request, "id result reason". Any thread.
+/// \brief Receives one line of the ledger for each request, "id result reason kind". Any thread.
 using LedgerSink = std::function<void(const std::string &lines)>;
 
 /// \brief Reads "http://ip:port".
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -69,7 +69,7 @@
         cxxopts::value(command.minService)->default_value("0"))(
         "json", "Write the report as JSON to this file; - is standard output",
         cxxopts::value(command.jsonFile))(
-        "ledger", "Write a line \"id result reason\" for each request to this file",
+        "ledger", "Write a line \"id result reason kind\" for each request to this file",
         cxxopts::value(command.ledgerFile));
     return parser;
 }
