Placement core: records, authority, grants, routes, moves, takeover

This is the core behind makePlacementNode() and the membership beside it, both without input or output, so that the daemon can serve requests.

Cells are found through a directory object per service, created once, since two instances with different settings could else cut one key space in two ways. WriteResult::NotDone is new: a refused write need not be resolved.

Checked so far: the codec by round trip and damaged text, and one calm schedule of four instances that ends with every key served.

--- a/include/yuccaspan/placement.hpp
+++ b/include/yuccaspan/placement.hpp
@@ -74,15 +74,17 @@
     Committed, ///< The write took effect.
     Conflict, ///< The object had another version; nothing changed.
     Unknown, ///< No answer came; the write may take effect, now or later.
+    NotDone, ///< The store refused the call, or it was never sent: nothing took effect.
 };
 
 template <>
 struct EnumNames<WriteResult>
 {
-    static constexpr std::array<EnumName<WriteResult>, 3> table{{
+    static constexpr std::array<EnumName<WriteResult>, 4> table{{
         {WriteResult::Committed, "committed"},
         {WriteResult::Conflict, "conflict"},
         {WriteResult::Unknown, "unknown"},
+        {WriteResult::NotDone, "not-done"},
     }};
 };
 
--- /dev/null
+++ b/src/placement/candidate_choice.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// \brief Chooses the candidates of a cell, a placer's successor, and who creates a record.
+#pragma once
+
+#include "placement/context.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace yuccaspan::impl {
+
+/// \brief Whether an instance may be a candidate of a cell.
+///
+/// With CutOffPolicy::Hold only instances of the home zone may, unless the platform shows none
+/// there or operators vouch that the zone has stopped.
+[[nodiscard]] bool mayBeCandidate(const Context &context, const CellId &cell, const Member &member);
+
+/// \brief Whether this instance hears more than half of the instances that the platform lists.
+/// With CutOffPolicy::Hold only the cell's home zone counts.
+[[nodiscard]] bool hearsMajority(const Context &context, const CellId &cell);
+
+/// \brief As hearsMajority(), but half of them is enough.
+[[nodiscard]] bool hearsHalf(const Context &context, const CellId &cell);
+
+/// \brief Replaces, drops or adds one candidate.
+/// \param context Members and settings.
+/// \param record The record; changed in place.
+/// \param unfit Candidates that should go.
+/// \returns Whether the record was changed.
+[[nodiscard]] bool improveCandidates(const Context &context, CellRecord &record,
+                                     const std::vector<InstanceId> &unfit);
+
+/// \brief A live candidate to hand the cell to, preferably in its home zone.
+[[nodiscard]] std::optional<InstanceId> chooseSuccessor(const Context &context,
+                                                        const CellRecord &record);
+
+/// \brief Position of this instance among those that may create an object, by rendezvous hash,
+/// instances of the preferred zone first.
+[[nodiscard]] std::size_t creationRank(const Context &context, std::string_view path,
+                                       const ZoneId &preferredZone);
+
+} // namespace yuccaspan::impl
--- /dev/null
+++ b/src/placement/context.hpp
@@ -0,0 +1,96 @@
+/// \file
+/// \brief What all parts of one placement core share while an event is handled.
+#pragma once
+
+#include "yuccaspan/balancer.hpp"
+#include "yuccaspan/placement.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccaspan::impl {
+
+/// \brief Faults that tests switch on to see that their invariant checks find them.
+enum class ProtocolMutation {
+    None, ///< The protocol as it is.
+    NoWaitBeforeTakeover, ///< A new placer does not wait until earlier terms have lapsed.
+    PromiseForgotten, ///< A candidate that takes over goes on to promise the old placer.
+    UnionDropped, ///< A pending list of candidates replaces the committed one at once.
+    LeaseCountedFromReceipt, ///< A view lease runs from the update's arrival.
+    SettleBeforeRevoke, ///< The next owner is granted before the owner's grant has ended.
+};
+
+/// \brief Policy of the placer, replaced in tests.
+struct PlacementPolicy
+{
+    /// Creates the balancer of one cell.
+    std::function<std::unique_ptr<Balancer>()> makeBalancer;
+    /// See yuccaspan::initialSlices.
+    std::function<std::vector<SliceRecord>(KeyRange, const ZoneId &,
+                                           const std::vector<BalanceTarget> &, std::uint32_t)>
+        initialSlices;
+    /// See yuccaspan::shareCapacity.
+    std::function<std::map<InstanceId, CapacityShare>(const TargetSettings &,
+                                                      const std::map<InstanceId, double> &)>
+        shareCapacity;
+};
+
+/// \brief Identity, timing, settings and members, and the actions collected so far.
+struct Context
+{
+    PlacementSelf self; ///< Who this instance is.
+    PlacementTiming timing; ///< Timing of the protocol.
+    ProtocolMutation mutation = ProtocolMutation::None; ///< Fault under test.
+    PlacementPolicy policy; ///< Balancing and sharing.
+    std::shared_ptr<const Settings> settings; ///< In force; null at first.
+    std::vector<Member> members; ///< In the order of their ids.
+    PlacementActions actions; ///< Collected while an event is handled.
+    std::deque<PeerEnvelope> loopback; ///< Messages of this instance to itself.
+    std::mt19937_64 random; ///< Source of random delays.
+    std::uint64_t lastId = 0; ///< Last id given to an order, write or read.
+
+    /// \name Output
+    /// @{
+    /// \brief Adds a line to the decision log.
+    void log(std::string_view part, std::string text);
+    /// \brief Sends a message; one to this instance itself is delivered before handle() returns.
+    void send(const InstanceId &to, PeerMessage message);
+    /// \brief A new id for an order, write or read.
+    [[nodiscard]] std::uint64_t nextId() noexcept { return ++lastId; }
+    /// @}
+
+    /// \name Look-up
+    /// @{
+    /// \brief The member of that name, or null.
+    [[nodiscard]] const Member *findMember(const InstanceId &id) const noexcept;
+    /// \brief Whether membership hears the instance.
+    [[nodiscard]] bool isAlive(const InstanceId &id) const noexcept;
+    /// \brief Settings of a service, or null.
+    [[nodiscard]] const ServiceSettings *findService(const ServiceName &name) const noexcept;
+    /// \brief Settings of a target of a service, or null.
+    [[nodiscard]] const TargetSettings *findTarget(const ServiceName &service,
+                                                   const TargetId &id) const noexcept;
+    /// \brief Whether the target checks grants; true for one that is not known.
+    [[nodiscard]] bool checksGrants(const ServiceName &service, const TargetId &id) const noexcept;
+    /// @}
+
+    /// \name Drift
+    /// @{
+    /// \brief A span that is at least as long as `span` on any other clock.
+    [[nodiscard]] Duration stretched(Duration span) const noexcept;
+    /// \brief A span that is at most as long as `span` on any other clock.
+    [[nodiscard]] Duration shrunk(Duration span) const noexcept;
+    /// @}
+};
+
+/// \brief Whether an instance is known to have ended: the platform no longer shows it, a later
+/// start of it is heard, or operators vouch that its zone has stopped. \param context Members.
+/// \param id The instance.
+[[nodiscard]] bool isGone(const Context &context, const InstanceId &id);
+
+} // namespace yuccaspan::impl
--- /dev/null
+++ b/src/placement/load_summary.cpp
@@ -0,0 +1,84 @@
+#include "placement/load_summary.hpp"
+
+#include <algorithm>
+
+namespace yuccaspan::impl {
+
+namespace {
+constexpr Duration reportLifetime = std::chrono::seconds(3);
+/// Slowdown from which a target counts as slow.
+constexpr double slowLimit = 1.5;
+} // namespace
+
+void LoadSummary::add(const InstanceId &from, const LoadReport &report, TimePoint now)
+{
+    Report &latest = m_reports[from];
+    if (report.sequence <= latest.report.sequence && now - latest.at < reportLifetime)
+        return;
+    latest = {report, now};
+    noteSlowness(report, now);
+}
+
+void LoadSummary::noteSlowness(const LoadReport &report, TimePoint now)
+{
+    for (const TargetObservation &observation : report.targets) {
+        if (slowdown(observation.target, now) > slowLimit)
+            m_slowSince.try_emplace(observation.target, now);
+        else
+            m_slowSince.erase(observation.target);
+    }
+}
+
+std::vector<SliceLoad> LoadSummary::sliceLoads(TimePoint now) const
+{
+    std::map<KeyRange, SliceLoad> sums;
+    for (const auto &[from, latest] : m_reports) {
+        if (now - latest.at >= reportLifetime)
+            continue;
+        for (const SliceLoad &load : latest.report.slices) {
+            SliceLoad &sum = sums[load.range];
+            sum.range = load.range;
+            sum.requestsPerSecond += load.requestsPerSecond;
+            sum.busySlots += load.busySlots;
+        }
+    }
+    std::vector<SliceLoad> loads;
+    for (const auto &[range, sum] : sums)
+        loads.push_back(sum);
+    return loads;
+}
+
+double LoadSummary::slowdown(const TargetId &target, TimePoint now) const
+{
+    std::vector<double> seen;
+    for (const auto &[from, latest] : m_reports) {
+        const auto found =
+            std::ranges::find(latest.report.targets, target, &TargetObservation::target);
+        if (now - latest.at < reportLifetime && found != latest.report.targets.end())
+            seen.push_back(found->slowdown);
+    }
+    if (seen.empty())
+        return 1;
+    std::ranges::sort(seen);
+    return seen[(seen.size() - 1) / 2];
+}
+
+Duration LoadSummary::slowFor(const TargetId &target, TimePoint now) const
+{
+    const auto since = m_slowSince.find(target);
+    return since == m_slowSince.end() ? Duration::zero() : now - since->second;
+}
+
+std::map<InstanceId, double> LoadSummary::demand(const TargetId &target, TimePoint now) const
+{
+    std::map<InstanceId, double> slots;
+    for (const auto &[from, latest] : m_reports) {
+        const auto found =
+            std::ranges::find(latest.report.targets, target, &TargetObservation::target);
+        if (now - latest.at < reportLifetime && found != latest.report.targets.end())
+            slots[from] = found->demandSlots;
+    }
+    return slots;
+}
+
+} // namespace yuccaspan::impl
