--- a/src/admission/cold_limiter.cpp
+++ b/src/admission/cold_limiter.cpp
@@ -5,10 +5,10 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// Time in which the fraction grows from nothing to 1 while the target calls itself cold.
-constexpr Duration coldGrowthTime = std::chrono::seconds(20);
-/// The same once the target calls itself warm, which may be wrong.
-constexpr Duration warmGrowthTime = std::chrono::seconds(4);
+/// Time in which the fraction grows from nothing to 1 after a start.
+constexpr Duration growthTime = std::chrono::seconds(12);
+/// Largest fraction while the target calls itself cold or is in doubt.
+constexpr double mostWhileCold = 0.99;
 /// Longest time between two good signs that counts as growth.
 constexpr Duration longestCredit = std::chrono::milliseconds(1500);
 } // namespace
@@ -21,9 +21,12 @@
     m_startId = startId;
     m_state = state;
     if (restarted || turnedCold) {
+        m_started = true;
         collapse(now);
         return true;
     }
+    if (!m_started && state == TargetState::Warm)
+        m_fraction = 1;
     grow(now);
     return false;
 }
@@ -44,15 +47,16 @@
         return;
     const Duration credit = std::clamp(now - m_lastGoodSign, Duration(0), longestCredit);
     m_lastGoodSign = std::max(m_lastGoodSign, now);
-    const Duration whole = m_state == TargetState::Cold ? coldGrowthTime : warmGrowthTime;
-    const double step = static_cast<double>(credit.count()) / static_cast<double>(whole.count());
-    const double most = m_state == TargetState::Cold ? 0.99 : 1.0;
+    const double step =
+        static_cast<double>(credit.count()) / static_cast<double>(growthTime.count());
+    const double most = m_state == TargetState::Cold ? mostWhileCold : 1.0;
     m_fraction = std::min(most, m_fraction + step);
+    m_started = m_started && isCold();
 }
 
 void ColdLimiter::collapse(TimePoint now) noexcept
 {
-    m_fraction = std::min(m_coldAllowance, 0.99);
+    m_fraction = std::min(m_coldAllowance, mostWhileCold);
     m_lastGoodSign = now;
 }
 
--- a/src/admission/cold_limiter.hpp
+++ b/src/admission/cold_limiter.hpp
@@ -13,7 +13,8 @@
 ///
 /// The fraction falls to the cold allowance on evidence of a start: a new start id, refused work,
 /// a failed connection, the target's own word. It grows while the target answers in time, and
-/// stands still while it is silent.
+/// stands still while it is silent. Growth after a start does not depend on the target's word. If
+/// the target turns out to have its old start id, it never was cold and the fraction is restored.
 class ColdLimiter
 {
 public:
@@ -42,6 +43,7 @@
 
     std::string m_startId;
     TargetState m_state = TargetState::Warm;
+    bool m_started = false; ///< Whether a start was seen, and not only trouble.
     double m_coldAllowance = 0.1;
     double m_fraction = 1;
     TimePoint m_lastGoodSign;
