--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -87,6 +87,8 @@
         input.maxMoves > input.movesUnderWay ? input.maxMoves - input.movesUnderWay : 0;
     const std::size_t slices = input.record->slices.size();
     draft.slicesLeft = input.maxSlices > slices ? input.maxSlices - slices : 0;
+    for (ModelTarget &target : draft.model.targets)
+        target.warm = !m_capacity.isCold(target.id);
     chooseEligible(draft.model);
     evacuate(draft);
     returnHome(draft);
--- a/src/placement_policy/capacity_tracker.cpp
+++ b/src/placement_policy/capacity_tracker.cpp
@@ -7,6 +7,8 @@
 namespace {
 /// Part of its capacity that a target is given while it starts.
 constexpr double coldPart = 0.1;
+/// A start counts for this long after its first sign, as at the gates.
+constexpr Duration minColdTime = std::chrono::seconds(12);
 /// Time in which a target that has started is brought from nothing to its full load.
 constexpr Duration warmUpTime = std::chrono::seconds(4);
 /// A target is slow beyond this slowdown.
@@ -34,9 +36,18 @@
     return capacity;
 }
 
+bool CapacityTracker::isCold(const TargetId &target) const
+{
+    const auto found = m_history.find(target);
+    return found != m_history.end() && (found->second.warmPart <= coldPart);
+}
+
 void CapacityTracker::noteStart(History &history, const BalanceTarget &target, TimePoint now)
 {
-    if (target.cold) {
+    const bool firstSign = target.cold && now >= history.coldUntil && history.warmPart >= 1;
+    if (firstSign)
+        history.coldUntil = now + minColdTime;
+    if (target.cold || now < history.coldUntil) {
         history.warmPart = coldPart;
         return;
     }
--- a/src/placement_policy/capacity_tracker.hpp
+++ b/src/placement_policy/capacity_tracker.hpp
@@ -17,6 +17,8 @@
     /// \returns Slots that each target can use at present, in the order given.
     [[nodiscard]] std::vector<double> update(const std::vector<BalanceTarget> &targets,
                                              TimePoint now);
+    /// \brief Whether a target counts as starting.
+    [[nodiscard]] bool isCold(const TargetId &target) const;
 
 private:
     struct History
@@ -25,6 +27,7 @@
         double warmPart = 1; ///< Grows to 1 after a start.
         double slowdown = 1; ///< In force for the plan; 1 is usual.
         TimePoint slowUntil; ///< Until when a past slowness counts.
+        TimePoint coldUntil; ///< Until when a start counts, whatever the target says.
         TimePoint updated; ///< Time of the last update.
     };
 
