--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -33,9 +33,9 @@
 /// Slices below this part of the mean slice load are merged.
 constexpr double mergeLoadFactor = 0.5;
 /// The home zone is helped out by other zones when its load to capacity exceeds all zones' by this.
-constexpr double lendTrigger = 1.2;
+constexpr double lendTrigger = 1.15;
 /// Lending ends below this.
-constexpr double lendEnd = 1.1;
+constexpr double lendEnd = 1.05;
 /// Load to capacity up to which the home zone needs no help.
 constexpr double lendMinRatio = 0.5;
 
@@ -63,6 +63,7 @@
     void chooseEligible(CellModel &model);
     [[nodiscard]] bool shouldLend(const CellModel &model) const;
     void evacuate(PlanDraft &draft);
+    [[nodiscard]] static std::string reasonToLeave(const CellModel &model, std::size_t slice);
     void returnHome(PlanDraft &draft);
     void relieve(PlanDraft &draft);
     [[nodiscard]] bool relieveOnce(PlanDraft &draft, std::size_t hot, double mean);
@@ -87,8 +88,10 @@
         input.maxMoves > input.movesUnderWay ? input.maxMoves - input.movesUnderWay : 0;
     const std::size_t slices = input.record->slices.size();
     draft.slicesLeft = input.maxSlices > slices ? input.maxSlices - slices : 0;
-    for (ModelTarget &target : draft.model.targets)
+    for (ModelTarget &target : draft.model.targets) {
         target.warm = !m_capacity.isCold(target.id);
+        target.slow = m_capacity.isSlow(target.id);
+    }
     chooseEligible(draft.model);
     evacuate(draft);
     returnHome(draft);
@@ -104,7 +107,7 @@
     double allLoad = 0;
     double allCapacity = 0;
     for (const ModelTarget &target : model.targets) {
-        if (!target.usable || !target.warm)
+        if (!target.usable || !target.isSound())
             continue;
         allLoad += target.load;
         allCapacity += target.capacity;
@@ -133,8 +136,8 @@
         return any;
     };
     m_lending = shouldLend(model);
-    const auto warmHome = [](const ModelTarget &target) { return target.warm && target.home; };
-    const auto warm = [](const ModelTarget &target) { return target.warm; };
+    const auto warmHome = [](const ModelTarget &target) { return target.isSound() && target.home; };
+    const auto warm = [](const ModelTarget &target) { return target.isSound(); };
     const auto home = [](const ModelTarget &target) { return target.home; };
     if (!m_lending && mark(warmHome))
         return;
@@ -153,6 +156,16 @@
     m_moved[range] = draft.now;
 }
 
+std::string CellBalancer::reasonToLeave(const CellModel &model, std::size_t slice)
+{
+    const std::size_t owner = model.slices[slice].owner;
+    if (owner == noTarget)
+        return "slice has no owner";
+    if (!model.targets[owner].usable)
+        return "owner is not usable";
+    return model.targets[owner].warm ? "owner is slow" : "owner is starting";
+}
+
 void CellBalancer::evacuate(PlanDraft &draft)
 {
     CellModel &model = draft.model;
@@ -160,7 +173,7 @@
     for (std::size_t index = 0; index < model.slices.size(); ++index) {
         const ModelSlice &slice = model.slices[index];
         const bool stays = slice.owner != noTarget && model.targets[slice.owner].usable
-            && (model.targets[slice.owner].warm || model.targets[slice.owner].eligible);
+            && (model.targets[slice.owner].isSound() || model.targets[slice.owner].eligible);
         if (!stays && !slice.moving)
             leaving.push_back(index);
     }
@@ -171,7 +184,7 @@
         const std::size_t target = model.coolest(model.slices[slice].load);
         if (draft.movesLeft == 0 || target == noTarget)
             return;
-        planMove(draft, slice, target, "owner not usable");
+        planMove(draft, slice, target, reasonToLeave(model, slice));
     }
 }
 
--- a/src/placement_policy/capacity_tracker.cpp
+++ b/src/placement_policy/capacity_tracker.cpp
@@ -11,46 +11,58 @@
 constexpr Duration minColdTime = std::chrono::seconds(12);
 /// Time in which a target that has started is brought from nothing to its full load.
 constexpr Duration warmUpTime = std::chrono::seconds(4);
-/// A target is slow beyond this slowdown.
+/// A target is slow beyond this many times the targets' median slowdown.
 constexpr double slowThreshold = 2.5;
 /// Slowness must last longer than this before slices are moved for it.
 constexpr Duration slowPatience = std::chrono::milliseconds(400);
-/// For this long after it ended slowness still counts, so that slices do not go to and fro.
-constexpr Duration slowMemory = std::chrono::seconds(10);
-/// Slowness counts at most this much.
-constexpr double maxSlowdown = 50;
+/// For this long after it ended slowness still counts; doubles with each relapse.
+constexpr Duration firstSlowMemory = std::chrono::seconds(10);
+/// Longest such time.
+constexpr Duration maxSlowMemory = std::chrono::seconds(160);
+/// A target that stays well for this long starts again with the shortest memory.
+constexpr Duration relapseTime = std::chrono::seconds(120);
+constexpr std::size_t half = 2;
 } // namespace
 
 std::vector<double> CapacityTracker::update(const std::vector<BalanceTarget> &targets,
                                             TimePoint now)
 {
     std::vector<double> capacity;
+    const double usual = medianSlowdown(targets);
     for (const BalanceTarget &target : targets) {
         History &history = m_history[target.id];
         noteStart(history, target, now);
-        noteSlowness(history, target, now);
+        noteSlowness(history, target, usual, now);
         history.known = true;
         history.updated = now;
-        capacity.push_back(target.capacity * history.warmPart / history.slowdown);
+        capacity.push_back(target.capacity * history.warmPart);
     }
     return capacity;
 }
 
+bool CapacityTracker::isSlow(const TargetId &target) const
+{
+    const auto found = m_history.find(target);
+    return found != m_history.end() && found->second.slow;
+}
+
 bool CapacityTracker::isCold(const TargetId &target) const
 {
     const auto found = m_history.find(target);
-    return found != m_history.end() && (found->second.warmPart <= coldPart);
+    return found != m_history.end() && found->second.cold;
 }
 
 void CapacityTracker::noteStart(History &history, const BalanceTarget &target, TimePoint now)
 {
-    const bool firstSign = target.cold && now >= history.coldUntil && history.warmPart >= 1;
+    const bool firstSign = target.cold && !history.cold;
     if (firstSign)
         history.coldUntil = now + minColdTime;
     if (target.cold || now < history.coldUntil) {
         history.warmPart = coldPart;
+        history.cold = true;
         return;
     }
+    history.cold = false;
     if (!history.known || history.warmPart >= 1)
         return;
     const auto elapsed = static_cast<double>((now - history.updated).count());
@@ -58,16 +70,38 @@
     history.warmPart = std::min(1.0, history.warmPart + std::max(0.0, step));
 }
 
-void CapacityTracker::noteSlowness(History &history, const BalanceTarget &target, TimePoint now)
+void CapacityTracker::noteSlowness(History &history, const BalanceTarget &target, double usual,
+                                   TimePoint now)
 {
-    const bool slow = target.slowdown > slowThreshold && target.slowFor >= slowPatience;
-    if (slow) {
-        history.slowdown = std::max(history.slowdown, std::min(target.slowdown, maxSlowdown));
-        history.slowUntil = now + slowMemory;
+    if (target.slowdown > slowThreshold * usual && target.slowFor >= slowPatience) {
+        if (!history.slow) {
+            const bool relapse =
+                history.slowMemory > Duration(0) && now < history.slowUntil + relapseTime;
+            history.slowMemory =
+                relapse ? std::min(2 * history.slowMemory, maxSlowMemory) : firstSlowMemory;
+        }
+        history.slow = true;
+        history.slowUntil = now + history.slowMemory;
         return;
     }
-    if (now >= history.slowUntil)
-        history.slowdown = 1;
+    if (history.slow && now >= history.slowUntil) {
+        history.slow = false;
+        history.warmPart = coldPart;
+    }
+}
+
+double CapacityTracker::medianSlowdown(const std::vector<BalanceTarget> &targets)
+{
+    std::vector<double> values;
+    for (const BalanceTarget &target : targets) {
+        if (target.usable)
+            values.push_back(target.slowdown);
+    }
+    if (values.empty())
+        return 1;
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / half);
+    std::nth_element(values.begin(), middle, values.end());
+    return std::max(1.0, *middle);
 }
 
 } // namespace yuccaspan::impl
--- a/src/placement_policy/cell_model.hpp
+++ b/src/placement_policy/cell_model.hpp
@@ -37,10 +37,13 @@
     bool home = false; ///< Whether it is in the cell's home zone.
     bool usable = false; ///< Whether it may own slices.
     bool warm = false; ///< Whether it bears more than a starting target.
+    bool slow = false; ///< Whether it is a straggler.
     bool eligible = false; ///< Whether the plan may give it slices.
     double capacity = 1; ///< Slots that it can use at present, with slowness and start allowed for.
     double load = 0; ///< Load of all its slices, in slots.
 
+    /// \brief Whether it bears a full load.
+    [[nodiscard]] bool isSound() const noexcept { return warm && !slow; }
     /// \brief Load to capacity.
     [[nodiscard]] double ratio() const noexcept { return load / capacity; }
 };
