--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -33,9 +33,9 @@
 /// Slices below this part of the mean slice load are merged.
 constexpr double mergeLoadFactor = 0.5;
 /// The home zone is helped out by other zones when its load to capacity exceeds all zones' by this.
-constexpr double lendTrigger = 1.15;
+constexpr double lendTrigger = 1.08;
 /// Lending ends below this.
-constexpr double lendEnd = 1.05;
+constexpr double lendEnd = 1.03;
 /// Load to capacity up to which the home zone needs no help.
 constexpr double lendMinRatio = 0.5;
 
@@ -102,24 +102,21 @@
 
 bool CellBalancer::shouldLend(const CellModel &model) const
 {
-    double homeLoad = 0;
+    // What the home zone would carry if it kept all slices; soundness only bounds the capacity.
+    double homeLoad = model.totalLoad;
     double homeCapacity = 0;
-    double allLoad = 0;
+    double allLoad = model.totalLoad;
     double allCapacity = 0;
     for (const ModelTarget &target : model.targets) {
         if (!target.usable || !target.isSound())
             continue;
-        allLoad += target.load;
+        allLoad += target.otherLoad;
         allCapacity += target.capacity;
-        homeLoad += target.home ? target.load : 0;
+        homeLoad += target.home ? target.otherLoad : 0;
         homeCapacity += target.home ? target.capacity : 0;
     }
     if (homeCapacity <= 0 || allCapacity <= 0)
         return true;
-    for (const ModelSlice &slice : model.slices) {
-        if (slice.owner == noTarget || !model.targets[slice.owner].home)
-            homeLoad += slice.load;
-    }
     const double homeRatio = homeLoad / homeCapacity;
     const double factor = m_lending ? lendEnd : lendTrigger;
     return homeRatio > lendMinRatio && homeRatio > factor * allLoad / allCapacity;
--- a/src/placement_policy/capacity_tracker.cpp
+++ b/src/placement_policy/capacity_tracker.cpp
@@ -14,7 +14,7 @@
 /// A target is slow beyond this many times the targets' median slowdown.
 constexpr double slowThreshold = 2.5;
 /// Slowness must last longer than this before slices are moved for it.
-constexpr Duration slowPatience = std::chrono::milliseconds(400);
+constexpr Duration slowPatience = std::chrono::milliseconds(200);
 /// For this long after it ended slowness still counts; doubles with each relapse.
 constexpr Duration firstSlowMemory = std::chrono::seconds(10);
 /// Longest such time.
--- a/src/placement_policy/cell_model.cpp
+++ b/src/placement_policy/cell_model.cpp
@@ -53,7 +53,8 @@
         target.usable = source.usable;
         target.warm = !source.cold;
         target.capacity = std::max(minCapacity, capacity[index]);
-        target.load = source.otherLoad.value_or(0);
+        target.otherLoad = source.otherLoad.value_or(0);
+        target.load = target.otherLoad;
         targets.push_back(target);
         m_indexes.emplace(source.id, index);
     }
