--- a/bench/policy/report.cpp
+++ b/bench/policy/report.cpp
@@ -97,13 +97,25 @@
         }
         return rows;
     };
+    const auto timeLine = [](const std::vector<SecondRecord> &seconds) {
+        nlohmann::json rows = nlohmann::json::array();
+        for (const SecondRecord &second : seconds)
+            rows.push_back({{"imbalance", second.imbalance},
+                            {"p99", second.p99},
+                            {"done", second.worthDone},
+                            {"possible", second.worthPossible},
+                            {"moves", second.moves},
+                            {"moved", second.loadMoved}});
+        return rows;
+    };
     nlohmann::json runs = nlohmann::json::array();
     for (const RunPair &pair : pairs) {
         runs.push_back({{"scenario", pair.scenario},
                         {"shape", pair.shape},
                         {"seed", pair.seed},
                         {"library", toJson(pair.figures)},
-                        {"baseline", toJson(pair.baseline)}});
+                        {"baseline", toJson(pair.baseline)},
+                        {"seconds", timeLine(pair.seconds)}});
     }
     out << nlohmann::json{{"bench", "policy"}, {"runs", std::move(runs)}}.dump(1) << '\n';
 }
--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -17,13 +17,17 @@
 namespace {
 
 /// Relief begins when a target's load to capacity exceeds the mean by this factor.
-constexpr double reliefTrigger = 1.17;
+constexpr double reliefTrigger = 1.2;
 /// Relief goes on until no target exceeds the mean by this factor.
-constexpr double reliefGoal = 1.1;
+constexpr double reliefGoal = 1.12;
+/// An excess must last this long before it is relieved, so that noise and half-seen shifts are not.
+constexpr Duration reliefPatience = std::chrono::milliseconds(2500);
 /// A target takes no slice that would bring it beyond the mean by this factor.
 constexpr double receiverLimit = 1.08;
 /// A slice larger than what has to go, by this factor, is cut first.
-constexpr double splitFactor = 1.5;
+constexpr double splitFactor = 1.4;
+/// A move of less than this part of the excess is not worth it if a slice can be cut instead.
+constexpr double usefulPart = 0.5;
 /// Time for which a slice that was moved for balance stays where it is.
 constexpr Duration moveCooldown = std::chrono::seconds(5);
 /// Load below which balance is not worth a move, in slots.
@@ -32,10 +36,14 @@
 constexpr std::size_t mergeSlicesPerTarget = 24;
 /// Slices below this part of the mean slice load are merged.
 constexpr double mergeLoadFactor = 0.5;
-/// The home zone is helped out by other zones when its load to capacity exceeds all zones' by this.
-constexpr double lendTrigger = 1.08;
+/// The home zone is helped out when its load to capacity exceeds that of all zones by this factor.
+constexpr double lendTrigger = 1.15;
+/// The same while a target of the home zone is lost, slow or starting.
+constexpr double lendTriggerUnsound = 1.08;
 /// Lending ends below this.
 constexpr double lendEnd = 1.03;
+/// The home zone must do without help this long before slices return.
+constexpr Duration lendPatience = std::chrono::seconds(2);
 /// Load to capacity up to which the home zone needs no help.
 constexpr double lendMinRatio = 0.5;
 
@@ -60,13 +68,17 @@
                                                   TimePoint now) override;
 
 private:
-    void chooseEligible(CellModel &model);
-    [[nodiscard]] bool shouldLend(const CellModel &model) const;
+    void chooseEligible(CellModel &model, TimePoint now);
+    [[nodiscard]] bool shouldLend(const CellModel &model, TimePoint now);
     void evacuate(PlanDraft &draft);
     [[nodiscard]] static std::string reasonToLeave(const CellModel &model, std::size_t slice);
     void returnHome(PlanDraft &draft);
     void relieve(PlanDraft &draft);
+    [[nodiscard]] bool shouldRelieve(double excessFactor, TimePoint now);
     [[nodiscard]] bool relieveOnce(PlanDraft &draft, std::size_t hot, double mean);
+    [[nodiscard]] static double largestRoom(const CellModel &model, std::size_t except,
+                                            double mean);
+    [[nodiscard]] static bool fits(const CellModel &model, std::size_t slice, double mean);
     [[nodiscard]] bool splitToFit(PlanDraft &draft, std::size_t slice, double wanted);
     void merge(PlanDraft &draft) const;
     void planMove(PlanDraft &draft, std::size_t slice, std::size_t target, std::string why);
@@ -77,6 +89,8 @@
     std::map<KeyRange, TimePoint> m_moved;
     bool m_relieving = false;
     bool m_lending = false;
+    TimePoint m_helpNeededAt; ///< When the home zone last needed other zones.
+    TimePoint m_balancedAt; ///< When no target was overloaded last.
 };
 
 std::vector<PlannedChange> CellBalancer::plan(const BalanceInput &input, TimePoint now)
@@ -92,7 +106,7 @@
         target.warm = !m_capacity.isCold(target.id);
         target.slow = m_capacity.isSlow(target.id);
     }
-    chooseEligible(draft.model);
+    chooseEligible(draft.model, now);
     evacuate(draft);
     returnHome(draft);
     relieve(draft);
@@ -100,29 +114,35 @@
     return std::move(draft.changes);
 }
 
-bool CellBalancer::shouldLend(const CellModel &model) const
+bool CellBalancer::shouldLend(const CellModel &model, TimePoint now)
 {
     // What the home zone would carry if it kept all slices; soundness only bounds the capacity.
     double homeLoad = model.totalLoad;
     double homeCapacity = 0;
     double allLoad = model.totalLoad;
     double allCapacity = 0;
+    bool homeIsSound = true;
     for (const ModelTarget &target : model.targets) {
-        if (!target.usable || !target.isSound())
+        if (!target.usable || !target.isSound()) {
+            homeIsSound = homeIsSound && !target.home;
             continue;
+        }
         allLoad += target.otherLoad;
         allCapacity += target.capacity;
         homeLoad += target.home ? target.otherLoad : 0;
         homeCapacity += target.home ? target.capacity : 0;
     }
-    if (homeCapacity <= 0 || allCapacity <= 0)
-        return true;
-    const double homeRatio = homeLoad / homeCapacity;
-    const double factor = m_lending ? lendEnd : lendTrigger;
-    return homeRatio > lendMinRatio && homeRatio > factor * allLoad / allCapacity;
+    const double begin = homeIsSound ? lendTrigger : lendTriggerUnsound;
+    const double factor = m_lending ? lendEnd : begin;
+    const double homeRatio = homeCapacity > 0 ? homeLoad / homeCapacity : HUGE_VAL;
+    const bool needsHelp =
+        homeRatio > lendMinRatio && allCapacity > 0 && homeRatio > factor * allLoad / allCapacity;
+    if (needsHelp)
+        m_helpNeededAt = now;
+    return needsHelp || (m_lending && now - m_helpNeededAt < lendPatience);
 }
 
-void CellBalancer::chooseEligible(CellModel &model)
+void CellBalancer::chooseEligible(CellModel &model, TimePoint now)
 {
     const auto mark = [&](auto accept) {
         bool any = false;
@@ -132,7 +152,7 @@
         }
         return any;
     };
-    m_lending = shouldLend(model);
+    m_lending = shouldLend(model, now);
     const auto warmHome = [](const ModelTarget &target) { return target.isSound() && target.home; };
     const auto warm = [](const ModelTarget &target) { return target.isSound(); };
     const auto home = [](const ModelTarget &target) { return target.home; };
@@ -217,51 +237,82 @@
         }
         if (hot == noTarget)
             return;
-        const double bound = mean * (m_relieving ? reliefGoal : reliefTrigger);
-        m_relieving = model.targets[hot].ratio() > bound;
-        if (!m_relieving || !relieveOnce(draft, hot, mean))
+        if (!shouldRelieve(model.targets[hot].ratio() / mean, draft.now)
+            || !relieveOnce(draft, hot, mean))
             return;
     }
 }
 
+bool CellBalancer::shouldRelieve(double excessFactor, TimePoint now)
+{
+    if (m_relieving) {
+        m_relieving = excessFactor > reliefGoal;
+        if (!m_relieving)
+            m_balancedAt = now;
+        return m_relieving;
+    }
+    if (excessFactor <= reliefTrigger)
+        m_balancedAt = now;
+    m_relieving = now - m_balancedAt >= reliefPatience;
+    return m_relieving;
+}
+
 bool CellBalancer::relieveOnce(PlanDraft &draft, std::size_t hot, double mean)
 {
     CellModel &model = draft.model;
-    const double excess = model.targets[hot].load - mean * model.targets[hot].capacity;
-    std::size_t best = noTarget;
+    const ModelTarget &source = model.targets[hot];
+    const double excess = source.load - reliefGoal * mean * source.capacity;
+    const double wanted = std::min(excess, largestRoom(model, hot, mean));
+    if (wanted <= 0)
+        return false;
+    std::size_t best = noTarget; // the slice whose load is closest to what is wanted
     std::size_t smallestLarger = noTarget;
+    const auto distance = [&](std::size_t which) {
+        return std::abs(model.slices[which].load - wanted);
+    };
     for (std::size_t index = 0; index < model.slices.size(); ++index) {
         const ModelSlice &slice = model.slices[index];
         if (slice.owner != hot || slice.moving || draft.cut.contains(index)
             || recentlyMoved(slice.range, draft.now))
             continue;
-        if (slice.load <= excess && (best == noTarget || slice.load > model.slices[best].load))
+        const bool larger = slice.load > splitFactor * wanted || !fits(model, index, mean);
+        if (!larger && (best == noTarget || distance(index) < distance(best)))
             best = index;
-        if (slice.load > excess
+        if (larger && slice.range.first != slice.range.last
             && (smallestLarger == noTarget || slice.load < model.slices[smallestLarger].load))
             smallestLarger = index;
     }
-    const auto fits = [&](std::size_t index) {
-        const std::size_t cool = model.coolest(model.slices[index].load);
-        if (cool == noTarget || cool == hot)
-            return false;
-        const ModelTarget &target = model.targets[cool];
-        return target.load + model.slices[index].load <= receiverLimit * mean * target.capacity;
-    };
-    constexpr double usefulPart = 0.3;
-    const bool useful = best != noTarget && model.slices[best].load > usefulPart * excess;
-    if (useful && fits(best)) {
-        planMove(draft, best, model.coolest(model.slices[best].load), "target is overloaded");
-        return true;
-    }
-    if (smallestLarger != noTarget && splitToFit(draft, smallestLarger, excess))
+    const double part = best == noTarget ? 0 : model.slices[best].load / wanted;
+    if (part < usefulPart && smallestLarger != noTarget
+        && splitToFit(draft, smallestLarger, wanted))
         return false;
-    if (best == noTarget || !fits(best))
+    if (best == noTarget)
         return false;
     planMove(draft, best, model.coolest(model.slices[best].load), "target is overloaded");
     return true;
 }
 
+double CellBalancer::largestRoom(const CellModel &model, std::size_t except, double mean)
+{
+    double largest = 0;
+    for (std::size_t index = 0; index < model.targets.size(); ++index) {
+        const ModelTarget &target = model.targets[index];
+        if (target.eligible && index != except)
+            largest = std::max(largest, receiverLimit * mean * target.capacity - target.load);
+    }
+    return largest;
+}
+
+bool CellBalancer::fits(const CellModel &model, std::size_t slice, double mean)
+{
+    const double load = model.slices[slice].load;
+    const std::size_t cool = model.coolest(load);
+    if (cool == noTarget || cool == model.slices[slice].owner)
+        return false;
+    const ModelTarget &target = model.targets[cool];
+    return target.load + load <= receiverLimit * mean * target.capacity;
+}
+
 bool CellBalancer::splitToFit(PlanDraft &draft, std::size_t slice, double wanted)
 {
     if (draft.slicesLeft == 0 || wanted <= 0)
