--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -21,7 +21,10 @@
 /// Relief goes on until no target exceeds the mean by this factor.
 constexpr double reliefGoal = 1.12;
 /// An excess must last this long before it is relieved, so that noise and half-seen shifts are not.
-constexpr Duration reliefPatience = std::chrono::milliseconds(2500);
+constexpr Duration reliefPatience = std::chrono::milliseconds(2000);
+/// Cells relieve in turns, so that they do not all choose the same new owner at once.
+constexpr Duration turnLength = std::chrono::milliseconds(250);
+constexpr std::size_t turns = 6;
 /// A target takes no slice that would bring it beyond the mean by this factor.
 constexpr double receiverLimit = 1.08;
 /// A slice larger than what has to go, by this factor, is cut first.
@@ -74,6 +77,7 @@
     [[nodiscard]] static std::string reasonToLeave(const CellModel &model, std::size_t slice);
     void returnHome(PlanDraft &draft);
     void relieve(PlanDraft &draft);
+    [[nodiscard]] static bool isTurnOf(const CellId &cell, TimePoint now);
     [[nodiscard]] bool shouldRelieve(double excessFactor, TimePoint now);
     [[nodiscard]] bool relieveOnce(PlanDraft &draft, std::size_t hot, double mean);
     [[nodiscard]] static double largestRoom(const CellModel &model, std::size_t except,
@@ -221,6 +225,12 @@
     }
 }
 
+bool CellBalancer::isTurnOf(const CellId &cell, TimePoint now)
+{
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / turnLength) % turns;
+    return hashKey(cell.zone.text() + '/' + std::to_string(cell.index)) % turns == turn;
+}
+
 void CellBalancer::relieve(PlanDraft &draft)
 {
     CellModel &model = draft.model;
@@ -238,7 +248,7 @@
         if (hot == noTarget)
             return;
         if (!shouldRelieve(model.targets[hot].ratio() / mean, draft.now)
-            || !relieveOnce(draft, hot, mean))
+            || !isTurnOf(draft.input.record->cell, draft.now) || !relieveOnce(draft, hot, mean))
             return;
     }
 }
