--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -45,6 +45,10 @@
 constexpr double lendTriggerUnsound = 1.08;
 /// Lending ends below this.
 constexpr double lendEnd = 1.03;
+/// While the home zone is helped out, slices return to targets that stay below the mean by this.
+constexpr double returnLimit = 0.95;
+/// They do so once a home target's load to capacity is below the mean by this factor.
+constexpr double idleFactor = 0.5;
 /// The home zone must do without help this long before slices return.
 constexpr Duration lendPatience = std::chrono::seconds(2);
 /// Load to capacity up to which the home zone needs no help.
@@ -93,6 +97,7 @@
     std::map<KeyRange, TimePoint> m_moved;
     bool m_relieving = false;
     bool m_lending = false;
+    bool m_returning = false; ///< Whether slices return to a home zone that was idle.
     TimePoint m_helpNeededAt; ///< When the home zone last needed other zones.
     TimePoint m_balancedAt; ///< When no target was overloaded last.
 };
@@ -212,15 +217,25 @@
 void CellBalancer::returnHome(PlanDraft &draft)
 {
     CellModel &model = draft.model;
-    if (m_lending)
+    const double mean = model.meanRatio();
+    const bool homeIsIdle =
+        std::any_of(model.targets.begin(), model.targets.end(), [&](const ModelTarget &target) {
+            return target.eligible && target.home && target.ratio() < idleFactor * mean;
+        });
+    m_returning = homeIsIdle || (m_returning && draft.movesLeft < draft.input.maxMoves);
+    if (m_lending && !m_returning)
         return;
     for (std::size_t index = 0; index < model.slices.size(); ++index) {
         const ModelSlice &slice = model.slices[index];
-        if (slice.moving || slice.owner == noTarget || model.targets[slice.owner].home)
+        if (slice.moving || slice.owner == noTarget || model.targets[slice.owner].home
+            || recentlyMoved(slice.range, draft.now))
             continue;
-        const std::size_t target = model.coolest(slice.load);
-        if (draft.movesLeft == 0 || target == noTarget || !model.targets[target].home)
+        const std::size_t target = model.coolest(slice.load, true);
+        if (draft.movesLeft == 0 || target == noTarget)
             return;
+        const ModelTarget &home = model.targets[target];
+        if (m_lending && home.load + slice.load > returnLimit * mean * home.capacity)
+            continue;
         planMove(draft, index, target, "home zone is back");
     }
 }
--- a/src/placement_policy/cell_model.cpp
+++ b/src/placement_policy/cell_model.cpp
@@ -121,14 +121,15 @@
     targets[target].load += moved.load;
 }
 
-std::size_t CellModel::coolest(double load) const noexcept
+std::size_t CellModel::coolest(double load, bool onlyHome) const noexcept
 {
     std::size_t best = noTarget;
     double bestRatio = 0;
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const ModelTarget &target = targets[index];
         const double ratio = (target.load + load) / target.capacity;
-        if (target.eligible && (best == noTarget || ratio < bestRatio)) {
+        if (target.eligible && (target.home || !onlyHome)
+            && (best == noTarget || ratio < bestRatio)) {
             best = index;
             bestRatio = ratio;
         }
--- a/src/placement_policy/cell_model.hpp
+++ b/src/placement_policy/cell_model.hpp
@@ -67,7 +67,8 @@
     void move(std::size_t slice, std::size_t target) noexcept;
     /// \brief The eligible target with the lowest load to capacity after taking the load.
     /// \param load The load that it is to take.
-    [[nodiscard]] std::size_t coolest(double load) const noexcept;
+    /// \param onlyHome Whether it must be in the home zone.
+    [[nodiscard]] std::size_t coolest(double load, bool onlyHome = false) const noexcept;
     /// \brief Mean load to capacity of the eligible targets.
     [[nodiscard]] double meanRatio() const noexcept;
 
