--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -103,6 +103,7 @@
         ++kind.late;
     if (record.crossed)
         ++m_crossed;
+    m_lastEnd = std::max(m_lastEnd, record.scheduled + record.latency);
     const auto slot = static_cast<std::size_t>(record.scheduled / slotLength);
     if (m_slots.size() <= slot)
         m_slots.resize(slot + 1);
@@ -129,6 +130,7 @@
     }
     m_lag.merge(other.m_lag);
     m_crossed += other.m_crossed;
+    m_lastEnd = std::max(m_lastEnd, other.m_lastEnd);
 }
 
 double LoadReport::weightedService() const
@@ -152,6 +154,12 @@
     return sum;
 }
 
+double LoadReport::doneRate() const
+{
+    const double seconds = std::chrono::duration<double>(m_lastEnd).count();
+    return seconds == 0 ? 0 : static_cast<double>(total(CallResult::Done)) / seconds;
+}
+
 std::vector<Duration> LoadReport::unavailable() const
 {
     const auto slotsPerSecond = static_cast<std::size_t>(second / slotLength);
@@ -181,6 +189,7 @@
         writeReasons(out, m_mix->kinds[index], m_kinds[index]);
     out << "service weighted by worth: " << std::fixed << std::setprecision(4) << weightedService()
         << '\n';
+    out << "done a second: " << std::setprecision(0) << doneRate() << '\n';
     const std::vector<Duration> times = unavailable();
     const Duration sum = std::accumulate(times.begin(), times.end(), Duration(0));
     out << "unavailable time: " << millis(sum) << " ms";
@@ -201,9 +210,14 @@
     Json seconds = Json::array();
     for (const Duration time : unavailable())
         seconds.push_back(static_cast<double>(time.count()) / 1000);
+    LatencyHistogram whole;
+    for (const KindReport &kind : m_kinds)
+        whole.merge(kind.latency);
     const Json document = {{"kinds", std::move(kinds)},
                            {"weightedService", weightedService()},
                            {"crossed", m_crossed},
+                           {"doneRate", doneRate()},
+                           {"latency", latencyJson(whole)},
                            {"unavailableMsBySecond", std::move(seconds)},
                            {"generatorLag", latencyJson(m_lag)},
                            {"quantileRelativeError", maxQuantileError}};
--- a/src/load/load_report.hpp
+++ b/src/load/load_report.hpp
@@ -84,6 +84,8 @@
     [[nodiscard]] std::uint64_t crossed() const noexcept { return m_crossed; }
     /// \brief Requests of all kinds with a result.
     [[nodiscard]] std::uint64_t total(CallResult result) const;
+    /// \brief Requests done a second, from the start to the end of the last request.
+    [[nodiscard]] double doneRate() const;
     /// \brief By kind, in the order of the mix.
     [[nodiscard]] const std::vector<KindReport> &kinds() const noexcept { return m_kinds; }
     /// \brief Time during which requests failed, weighted by the share that did, by second.
@@ -104,6 +106,7 @@
     std::vector<TimeSlot> m_slots;
     LatencyHistogram m_lag;
     std::uint64_t m_crossed = 0;
+    Duration m_lastEnd{};
 };
 
 } // namespace yuccaspan::load
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -3,12 +3,14 @@
 #include "event_loop_context.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <deque>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace yuccaspan::standins {
 
@@ -51,7 +53,7 @@
         return view(m_request[boost::beast::string_view(name.data(), name.size())]);
     }
     [[nodiscard]] const std::string &body() const override { return m_request.body(); }
-    [[nodiscard]] bool callerGone() const override { return m_gone; }
+    [[nodiscard]] bool callerGone() const override;
     void respond(HttpAnswer answer) override;
     void drop() override;
 
@@ -117,6 +119,8 @@
     void read();
     void respond(bool keepAlive, HttpAnswer answer);
     void close();
+    /// Whether the caller's end of the connection was closed, also if that was not read yet.
+    [[nodiscard]] bool peerClosed();
 
 private:
     void onRead(error_code error);
@@ -215,6 +219,22 @@
     m_socket.close(ignored);
 }
 
+bool Session::peerClosed()
+{
+    char byte = 0;
+    const ssize_t received =
+        recv(m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool Exchange::callerGone() const
+{
+    if (m_gone)
+        return true;
+    const auto session = m_session.lock();
+    return !session || session->peerClosed();
+}
+
 void Exchange::respond(HttpAnswer answer)
 {
     if (const auto session = m_session.lock())
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -67,6 +67,20 @@
         kill(m_pid, number);
 }
 
+void Process::freeze() const
+{
+    if (m_exitCode)
+        return;
+    signal(SIGSTOP);
+    siginfo_t state{};
+    waitid(P_PID, static_cast<id_t>(m_pid), &state, WSTOPPED | WEXITED | WNOWAIT);
+}
+
+void Process::resume() const
+{
+    signal(SIGCONT);
+}
+
 bool Process::ended()
 {
     if (m_exitCode)
--- a/standins/process.hpp
+++ b/standins/process.hpp
@@ -35,6 +35,10 @@
     [[nodiscard]] pid_t pid() const noexcept { return m_pid; }
     /// \brief Sends a signal to it.
     void signal(int number) const;
+    /// \brief Stops it by SIGSTOP; returns once it is stopped or has ended.
+    void freeze() const;
+    /// \brief Lets it run on by SIGCONT.
+    void resume() const;
     /// \brief Waits for its end.
     /// \returns The exit code, or 128 plus the signal that ended it; nothing after the timeout.
     [[nodiscard]] std::optional<int> wait(Duration timeout);
--- a/standins/run_check.cpp
+++ b/standins/run_check.cpp
@@ -48,6 +48,24 @@
     return found;
 }
 
+/// Runs of a key at one target that began after a run with a higher token at another one.
+void findFormerOwner(const ServiceKey &key, std::vector<TargetRun> runs,
+                     std::vector<std::string> &found)
+{
+    std::sort(runs.begin(), runs.end(), [](const TargetRun &one, const TargetRun &other) {
+        return one.beganUs < other.beganUs;
+    });
+    const TargetRun *highest = nullptr;
+    for (const TargetRun &run : runs) {
+        if (highest && run.token < highest->token && run.target != highest->target)
+            found.push_back(key.service + ' ' + key.hash + ' ' + run.target + " token "
+                            + std::to_string(run.token) + " after " + highest->target + " token "
+                            + std::to_string(highest->token));
+        if (!highest || run.token > highest->token)
+            highest = &run;
+    }
+}
+
 std::uint64_t runsOf(const RunRecord &record, const std::string &id)
 {
     const auto found = record.runs.find(id);
@@ -74,11 +92,15 @@
     if (!ledgerJson || !grantsJson || !ledgerJson->contains("runs")
         || !grantsJson->contains("history"))
         return false;
-    for (const Json &run : (*ledgerJson)["runs"])
+    const std::string target = grantsJson->value("id", "");
+    for (const Json &run : (*ledgerJson)["runs"]) {
         record.runs[run.value("requestId", "")] += run.value("count", std::uint64_t{0});
+        record.runsByKey[{run.value("service", ""), run.value("key", "")}].push_back(
+            {target, run.value("token", std::uint64_t{0}), run.value("beganUs", std::int64_t{0})});
+    }
     for (const Json &hold : (*grantsJson)["history"]) {
         TargetHold row;
-        row.target = grantsJson->value("id", "");
+        row.target = target;
         row.service = hold.value("service", "");
         row.first = parseHash(hold.value("first", "")).value_or(0);
         row.last = parseHash(hold.value("last", "")).value_or(0);
@@ -120,6 +142,8 @@
             findings.doneButNotRun.push_back(id);
     }
     findings.heldTwice = findHeldTwice(record.holds);
+    for (const auto &[key, runs] : record.runsByKey)
+        findFormerOwner(key, runs, findings.ranAtFormerOwner);
     return findings;
 }
 
--- a/standins/run_check.hpp
+++ b/standins/run_check.hpp
@@ -31,11 +31,29 @@
     std::int64_t untilUs = 0; ///< End.
 };
 
+/// \brief The beginning of a run at a target, on the machine's clock.
+struct TargetRun
+{
+    std::string target; ///< The target.
+    std::uint64_t token = 0; ///< Token that the request carried.
+    std::int64_t beganUs = 0; ///< When it began.
+};
+
+/// \brief A key of a service.
+struct ServiceKey
+{
+    std::string service; ///< The service.
+    std::string hash; ///< The key's hash, 16 hexadecimal digits.
+
+    [[nodiscard]] friend auto operator<=>(const ServiceKey &, const ServiceKey &) = default;
+};
+
 /// \brief Everything that a run left behind.
 struct RunRecord
 {
     std::map<std::string, CallerRow> calls; ///< By request id.
     std::map<std::string, std::uint64_t> runs; ///< Runs over all targets, by request id.
+    std::map<ServiceKey, std::vector<TargetRun>> runsByKey; ///< Over all targets.
     std::vector<TargetHold> holds; ///< Of all targets.
 };
 
@@ -46,6 +64,7 @@
     std::vector<std::string> notRunButRun; ///< Ids told not to have run that ran.
     std::vector<std::string> doneButNotRun; ///< Ids told to be done that no target ran.
     std::vector<std::string> heldTwice; ///< Slices held by two targets at a time.
+    std::vector<std::string> ranAtFormerOwner; ///< Runs begun after one with a higher token.
 };
 
 /// \brief Reads the ledger of yuccaspan-load.
--- a/standins/target_json.cpp
+++ b/standins/target_json.cpp
@@ -127,7 +127,9 @@
     Json rows = Json::array();
     for (const auto &[requestId, row] : model.ledger())
         rows.push_back({{"requestId", requestId},
+                        {"service", row.service.text()},
                         {"key", hashText(row.hash)},
+                        {"beganUs", row.began.time_since_epoch().count()},
                         {"token", row.token.value},
                         {"count", row.count}});
     return rows;
--- a/standins/target_model.cpp
+++ b/standins/target_model.cpp
@@ -146,18 +146,20 @@
     }
     m_counts.maxRunning =
         std::max(m_counts.maxRunning, static_cast<std::uint32_t>(m_running.size()));
-    record(work);
+    record(work, now);
     const double micros = static_cast<double>(m_options.service.count()) * factor;
     return {work.handle, std::nullopt, Duration(static_cast<Duration::rep>(micros))};
 }
 
-void TargetModel::record(const Work &work)
+void TargetModel::record(const Work &work, TimePoint now)
 {
     ++m_counts.runs;
     if (!m_options.keepLedger || work.requestId.empty())
         return;
     LedgerRow &row = m_ledger[work.requestId];
+    row.service = work.service;
     row.hash = work.hash;
+    row.began = now;
     row.token = work.token;
     ++row.count;
     if (row.count == 2)
--- a/standins/target_model.hpp
+++ b/standins/target_model.hpp
@@ -70,8 +70,10 @@
 /// \brief Runs of one request id.
 struct LedgerRow
 {
+    ServiceName service; ///< Service.
     KeyHash hash = 0; ///< Hash of the key.
     FencingToken token; ///< Token of the latest run.
+    TimePoint began; ///< When the latest run began.
     std::uint32_t count = 0; ///< Number of runs.
 };
 
@@ -155,7 +157,7 @@
     [[nodiscard]] Refusal count(Refusal refusal);
     [[nodiscard]] WorkStep begin(const Work &work, TimePoint now);
     [[nodiscard]] bool isCold(TimePoint now) const { return now < m_coldUntil; }
-    void record(const Work &work);
+    void record(const Work &work, TimePoint now);
 
     TargetOptions m_options;
     TimePoint m_origin;
--- a/tests/standins/test_load.cpp
+++ b/tests/standins/test_load.cpp
@@ -98,6 +98,7 @@
     EXPECT_DOUBLE_EQ(first.weightedService(), 10.0 / 20.0);
     EXPECT_EQ(first.total(CallResult::Done), 3U);
     EXPECT_EQ(first.crossed(), 1U);
+    EXPECT_NEAR(first.doneRate(), 3 / 1.202, 1e-9);
     EXPECT_EQ(first.kinds()[0].late, 1U);
     EXPECT_EQ(first.kinds()[1].reasons.at("queue-full"), 1U);
     const std::vector<Duration> expected{Duration(0), Duration(5000)};
--- a/tests/standins/test_programs.cpp
+++ b/tests/standins/test_programs.cpp
@@ -100,6 +100,21 @@
     EXPECT_EQ(m_standin->wait(patience), 0);
 }
 
+TEST_F(Programs, ATargetThatWasStoppedDropsRequestsWhoseCallerLeft)
+{
+    startStandin({"target", "--checks-grants", "false"});
+    m_standin->freeze();
+    FetchCall call{m_address, "POST", "/orders/1", {}, {{"Yuccaspan-Request-Id", "left"}}};
+    call.timeout = std::chrono::milliseconds(200);
+    EXPECT_FALSE(fetch(call).hasValue());
+    m_standin->resume();
+    const auto dropped = [&] {
+        return Json::parse(Programs::call("GET", "/control/summary").body)["dropped"] == 1;
+    };
+    EXPECT_TRUE(waitUntil(dropped, patience));
+    EXPECT_EQ(Json::parse(Programs::call("GET", "/control/ledger").body)["runs"], Json::array());
+}
+
 TEST_F(Programs, AWriteWhoseAnswerIsLostTakesEffect)
 {
     startStandin({"store"});
--- a/tests/standins/test_run_check.cpp
+++ b/tests/standins/test_run_check.cpp
@@ -21,7 +21,9 @@
     record.runs = {{"a", 1}, {"c", 1}, {"d", 2}};
     record.holds = {makeHold("t", 0, 9, 0, 10), makeHold("u", 0, 9, 10, 20),
                     makeHold("u", 10, 19, 0, 10)};
+    record.runsByKey[{"s", "0a"}] = {{"t", 1, 10}, {"u", 2, 30}, {"t", 1, 20}, {"u", 3, 40}};
     const RunFindings findings = check(record);
+    EXPECT_TRUE(findings.ranAtFormerOwner.empty());
     EXPECT_TRUE(findings.ordersRunTwice.empty());
     EXPECT_TRUE(findings.notRunButRun.empty());
     EXPECT_TRUE(findings.doneButNotRun.empty());
@@ -35,7 +37,9 @@
                                     "c done answered order\n");
     record.runs = {{"a", 2}, {"b", 1}};
     record.holds = {makeHold("t", 0, 9, 0, 11), makeHold("u", 9, 12, 10, 20)};
+    record.runsByKey[{"s", "0a"}] = {{"t", 1, 35}, {"u", 2, 30}, {"t", 1, 20}, {"u", 3, 40}};
     const RunFindings findings = check(record);
+    EXPECT_EQ(findings.ranAtFormerOwner.size(), 1U);
     EXPECT_EQ(findings.ordersRunTwice, std::vector<std::string>{"a"});
     EXPECT_EQ(findings.notRunButRun, std::vector<std::string>{"b queue-full"});
     EXPECT_EQ(findings.doneButNotRun, std::vector<std::string>{"c"});
