--- a/include/yuccaspan/settings.hpp
+++ b/include/yuccaspan/settings.hpp
@@ -109,6 +109,13 @@
     std::vector<TargetSettings> targets; ///< In the order of their names.
     std::vector<RequestRule> rules; ///< In the order in which they are tried.
 
+    /// \brief The first rule that matches a request, or null.
+    /// \param method The HTTP method.
+    /// \param path The path after the service's prefix. A rule's path matches whole segments, so
+    /// "/order" matches "/order/7" and not "/orders".
+    [[nodiscard]] const RequestRule *findRule(std::string_view method,
+                                              std::string_view path) const noexcept;
+
     [[nodiscard]] friend bool operator==(const ServiceSettings &,
                                          const ServiceSettings &) = default;
 };
--- a/src/settings/rules.cpp
+++ b/src/settings/rules.cpp
@@ -252,6 +252,18 @@
     });
 }
 
+void checkKeySegments(Check &check)
+{
+    forEachRule(check.settings(), [&](const auto &service, const auto &rule, std::size_t index) {
+        const auto fixed = std::ranges::count(rule.path, '/');
+        if (rule.keySource != KeySource::PathSegment || rule.keySegment >= fixed)
+            return;
+        check.report(check.rulePointer(service, index) + "/keySegment",
+                     "segment " + std::to_string(rule.keySegment) + " is the same in every path \""
+                         + rule.path + "\" matches: expected at least " + std::to_string(fixed));
+    });
+}
+
 void checkDeadlines(Check &check)
 {
     forEachRule(check.settings(), [&](const auto &service, const auto &rule, std::size_t index) {
@@ -287,7 +299,7 @@
 
 using Rule = void (*)(Check &);
 
-constexpr std::array<Rule, 15> allRules{
+constexpr std::array<Rule, 16> allRules{
     checkStoppedZones,
     checkPathPrefixes,
     checkRulesPresent,
@@ -303,6 +315,7 @@
     checkKinds,
     checkShadowedRules,
     checkHiddenPaths,
+    checkKeySegments,
 };
 
 } // namespace
--- a/src/settings/settings_lookup.cpp
+++ b/src/settings/settings_lookup.cpp
@@ -11,11 +11,23 @@
 {
     if (!path.starts_with(prefix))
         return false;
+    if (prefix.empty())
+        return true;
     return path.size() == prefix.size() || path[prefix.size()] == '/' || path[prefix.size()] == '?';
 }
 
 } // namespace impl
 
+const RequestRule *ServiceSettings::findRule(std::string_view method,
+                                             std::string_view path) const noexcept
+{
+    const auto found = std::ranges::find_if(rules, [&](const RequestRule &rule) {
+        const bool methodMatches = rule.method.empty() || rule.method == method;
+        return methodMatches && impl::isUnderPrefix(path, rule.path);
+    });
+    return found == rules.end() ? nullptr : &*found;
+}
+
 const ZoneSettings *Settings::findZone(const ZoneId &id) const noexcept
 {
     const auto found = std::ranges::find(zones, id, &ZoneSettings::id);
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -222,6 +222,28 @@
     EXPECT_EQ(run({"zone", "in", "a"}).output["changed"], false);
 }
 
+TEST_F(Ctl, AfterAConflictALaggingReadIsWaitedFor)
+{
+    ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
+    store.beforeWrite = [this] {
+        otherOperator("/services/stock/queueLimit", 5);
+        store.staleReads = 3;
+    };
+    EXPECT_EQ(run({"zone", "out", "a"}).exitCode, 0);
+    EXPECT_EQ(stored()["services"]["stock"]["queueLimit"], 5);
+}
+
+TEST_F(Ctl, ALaggingReadAfterALostAnswerDoesNotHideTheResult)
+{
+    ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
+    write("90.json", R"({"services":{"stock":{"queueLimit":9}}})");
+    store.loseAnswers = 1;
+    store.beforeWrite = [this] { store.staleReads = 3; };
+    const Outcome outcome = run({"apply", "DIR"});
+    EXPECT_EQ(outcome.exitCode, 0) << outcome.output;
+    EXPECT_EQ(outcome.output["version"], 2);
+}
+
 TEST_F(Ctl, ZoneCommandsConflictWhenOthersChangeTheSameZone)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
--- a/tests/store/fake_http_server.cpp
+++ b/tests/store/fake_http_server.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <mutex>
+#include <atomic>
 #include <thread>
 
 namespace yuccaspan {
@@ -55,6 +55,8 @@
             goesOn = !failure && answer(socket, request, number);
         }
         socket.shutdown(tcp::socket::shutdown_both, failure);
+        ++closed;
+        closed.notify_all();
     }
 
     bool answer(tcp::socket &socket, const http::request<http::string_body> &request, int number)
@@ -85,6 +87,7 @@
     tcp::acceptor acceptor;
     std::vector<std::shared_ptr<tcp::socket>> sockets;
     std::vector<std::thread> connections;
+    std::atomic<int> closed{0};
     std::thread thread;
 };
 
@@ -98,4 +101,10 @@
     return m_impl->acceptor.local_endpoint().port();
 }
 
+void FakeHttpServer::awaitClosed(int connections)
+{
+    for (int seen = m_impl->closed; seen < connections; seen = m_impl->closed)
+        m_impl->closed.wait(seen);
+}
+
 } // namespace yuccaspan
--- a/tests/store/fake_http_server.hpp
+++ b/tests/store/fake_http_server.hpp
@@ -40,6 +40,8 @@
     ~FakeHttpServer();
 
     [[nodiscard]] unsigned short port() const;
+    /// \brief Waits until the server has closed so many connections.
+    void awaitClosed(int connections);
 
 private:
     struct Impl;
--- a/tests/store/test_http_store.cpp
+++ b/tests/store/test_http_store.cpp
@@ -66,10 +66,11 @@
     ManualClock clock;
     std::unique_ptr<HttpStore> store;
 
+    std::unique_ptr<FakeHttpServer> m_server;
+
 private:
     std::mutex m_mutex;
     std::vector<SeenRequest> m_seen;
-    std::unique_ptr<FakeHttpServer> m_server;
 };
 
 TEST_F(HttpStoreTest, ReadsAnObjectWithItsVersion)
@@ -156,8 +157,10 @@
 {
     options.connections = 1;
     serve([](const SeenRequest &) { return FakeAnswer{200, "\"1\"", "", true}; });
-    for (int call = 0; call < 5; ++call)
-        EXPECT_TRUE(get("a"));
+    for (int call = 1; call <= 5; ++call) {
+        EXPECT_TRUE(put("a", 1, "x"));
+        m_server->awaitClosed(call);
+    }
 }
 
 TEST_F(HttpStoreTest, TheBudgetCountsEachKindApart)
