--- a/src/ctl/publish.cpp
+++ b/src/ctl/publish.cpp
@@ -138,7 +138,9 @@
         if (!stored)
             return stored.error();
         if (!stored->document.contains(pointer))
-            return Error{ErrorCode::NotFound, "no " + edit.pointer + " in the settings", {}};
+            return Error{ErrorCode::NotFound,
+                         "no " + edit.pointer + " in settings " + versionText(stored->version),
+                         {}};
         Json changed = stored->document;
         const Json member = changed[pointer];
         changed[pointer].merge_patch(edit.patch);
--- a/src/ctl/store_session.cpp
+++ b/src/ctl/store_session.cpp
@@ -22,7 +22,14 @@
     Result<StoreObject> object =
         await<StoreObject>([&](auto done) { m_store.get(path, std::move(done)); });
     if (!object && object.error().code == ErrorCode::NotFound)
-        return StoreObject{path, {}, {}};
+        object = StoreObject{path, {}, {}};
+    const Result<StoreChanges> changes = list(path);
+    if (!object || !changes)
+        return object;
+    for (const StoreObject &listed : changes->objects) {
+        if (listed.path == path && listed.version > object->version)
+            object = listed;
+    }
     return object;
 }
 
--- a/src/ctl/store_session.hpp
+++ b/src/ctl/store_session.hpp
@@ -23,7 +23,8 @@
 
     /// \name Calls
     /// @{
-    /// \brief Reads an object; one that does not exist has version 0 and no value.
+    /// \brief Reads an object; one that does not exist has version 0 and no value. Also asks for
+    /// the list of changes, since a plain read may lag, and returns the later version of the two.
     [[nodiscard]] Result<StoreObject> read(const std::string &path);
     /// \brief Updates an object if it has the expected version.
     [[nodiscard]] Result<ObjectVersion> write(const std::string &path, ObjectVersion expected,
--- a/tests/ctl/fake_store.hpp
+++ b/tests/ctl/fake_store.hpp
@@ -20,8 +20,7 @@
         if (down)
             return done(unavailable());
         const std::vector<StoreObject> &history = objects[path];
-        const std::size_t lag = staleReads > 0 ? 1 : 0;
-        staleReads -= lag;
+        const std::size_t lag = takeLag();
         if (history.size() <= lag)
             return done(Error{ErrorCode::NotFound, "absent", {}});
         done(history[history.size() - 1 - lag]);
@@ -50,10 +49,13 @@
 
     void watch(std::string prefix, std::uint64_t, Callback<StoreChanges> done) override
     {
+        if (down)
+            return done(unavailable());
+        const std::size_t lag = takeLag();
         StoreChanges changes{revision, true, {}};
         for (const auto &[path, history] : objects) {
-            if (path.starts_with(prefix) && !history.empty())
-                changes.objects.push_back(history.back());
+            if (path.starts_with(prefix) && history.size() > lag)
+                changes.objects.push_back(history[history.size() - 1 - lag]);
         }
         done(std::move(changes));
     }
@@ -87,6 +89,14 @@
     std::function<void()> beforeWrite; ///< Runs once, before the next write.
 
 private:
+    /// How many versions the next read lags behind.
+    std::size_t takeLag()
+    {
+        const std::size_t lag = staleReads > 0 ? 1 : 0;
+        staleReads -= lag;
+        return lag;
+    }
+
     static Error unavailable() { return {ErrorCode::Unavailable, "down", {}}; }
 };
 
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -166,7 +166,7 @@
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     otherOperator("/services/stock/queueLimit", 5);
-    store.staleReads = 3;
+    store.staleReads = 5;
     EXPECT_EQ(run({"apply", "DIR", "--expect", "2"}).exitCode, 0);
 }
 
@@ -222,12 +222,19 @@
     EXPECT_EQ(run({"zone", "in", "a"}).output["changed"], false);
 }
 
+TEST_F(Ctl, AReadThatLagsBehindTheChangesDoesNotHideAZone)
+{
+    ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
+    store.staleReads = 1;
+    EXPECT_EQ(run({"zone", "out", "a"}).exitCode, 0);
+}
+
 TEST_F(Ctl, AfterAConflictALaggingReadIsWaitedFor)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     store.beforeWrite = [this] {
         otherOperator("/services/stock/queueLimit", 5);
-        store.staleReads = 3;
+        store.staleReads = 5;
     };
     EXPECT_EQ(run({"zone", "out", "a"}).exitCode, 0);
     EXPECT_EQ(stored()["services"]["stock"]["queueLimit"], 5);
@@ -238,7 +245,7 @@
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     write("90.json", R"({"services":{"stock":{"queueLimit":9}}})");
     store.loseAnswers = 1;
-    store.beforeWrite = [this] { store.staleReads = 3; };
+    store.beforeWrite = [this] { store.staleReads = 5; };
     const Outcome outcome = run({"apply", "DIR"});
     EXPECT_EQ(outcome.exitCode, 0) << outcome.output;
     EXPECT_EQ(outcome.output["version"], 2);
