--- /dev/null
+++ b/src/daemon/control.cpp
@@ -0,0 +1,237 @@
+#include "daemon/control.hpp"
+
+#include "yuccaspan/settings_io.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccaspan::impl {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint32_t maxWaitingEvents = 65536;
+
+} // namespace
+
+Result<std::unique_ptr<Control>> Control::create(const InstanceSettings &settings,
+                                                 const InstanceId &id,
+                                                 const PlacementTiming &timing, ControlParts parts)
+{
+    const PlacementSelf self{id, settings.zone, hashKey(id.text())};
+    auto node = makePlacementNode(self, timing);
+    if (!node)
+        return node.error();
+    auto membership = Membership::create(id, settings.zone, MembershipTiming());
+    if (!membership)
+        return membership.error();
+    return std::unique_ptr<Control>(
+        new Control(settings, id, timing, parts, std::move(*node), std::move(*membership)));
+}
+
+Control::Control(const InstanceSettings &settings, InstanceId id, const PlacementTiming &timing,
+                 ControlParts parts, std::unique_ptr<PlacementNode> node, Membership membership)
+    : m_instance(settings),
+      m_id(std::move(id)),
+      m_timing(timing),
+      m_parts(parts),
+      m_node(std::move(node)),
+      m_membership(std::move(membership)),
+      m_work(m_loop.get_executor()),
+      m_tick(m_loop),
+      m_lastSeen(parts.shared.clock.now())
+{ }
+
+Control::~Control()
+{
+    stop();
+}
+
+void Control::stop()
+{
+    m_loop.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void Control::start()
+{
+    m_parts.store.follow("", [this](Result<StoreChanges> changes) {
+        asio::post(m_loop, [this, changes = std::move(changes)] { onStoreChanges(changes); });
+    });
+    asio::post(m_loop, [this] {
+        updateAddresses();
+        armTick();
+    });
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+void Control::leave()
+{
+    asio::post(m_loop, [this] {
+        m_leaving = true;
+        m_membership.leave();
+        writeStatus();
+        handle(LeaveEvent{});
+    });
+}
+
+void Control::post(PlacementEvent event)
+{
+    if (m_waitingEvents >= maxWaitingEvents) {
+        ++m_droppedEvents;
+        return;
+    }
+    ++m_waitingEvents;
+    asio::post(m_loop, [this, event = std::move(event)] {
+        --m_waitingEvents;
+        handle(event);
+    });
+}
+
+void Control::receivePeer(const std::string &bytes)
+{
+    Result<PeerEnvelope> envelope = decodePeerEnvelope(bytes);
+    if (!envelope || m_waitingEvents >= maxWaitingEvents) {
+        ++m_droppedEvents;
+        return;
+    }
+    ++m_waitingEvents;
+    asio::post(m_loop, [this, envelope = std::move(*envelope)] {
+        --m_waitingEvents;
+        onPeer(envelope);
+    });
+}
+
+void Control::armTick()
+{
+    m_tick.expires_after(m_timing.tickInterval);
+    m_tick.async_wait([this](boost::system::error_code failure) {
+        if (failure)
+            return;
+        tick();
+        armTick();
+    });
+}
+
+void Control::tick()
+{
+    const TimePoint now = m_parts.shared.clock.now();
+    noticeJump(now);
+    MembershipStatus status;
+    status.settingsVersion = m_settings == nullptr ? ObjectVersion() : m_settings->version;
+    status.storeReachable = m_storeReachable;
+    for (const CellStatus &cell : m_view.get()->cells) {
+        if (cell.isPlacer)
+            status.places.push_back(cell.cell);
+    }
+    carryOut(m_membership.tick(status, now));
+    handle(TickEvent{});
+    reportIdle();
+    pollList();
+    reportLoad();
+    askPeersForState();
+    publishView();
+}
+
+void Control::noticeJump(TimePoint now)
+{
+    const Duration gap = now - m_lastSeen;
+    m_lastSeen = now;
+    if (gap <= m_timing.pauseLimit)
+        return;
+    m_parts.shared.log.write("membership",
+                             "This process did not run for " + std::to_string(gap.count())
+                                 + " us; every lease is checked again.");
+    m_membership.clockJumped(now);
+    carryOut(m_node->handle(ClockJumpEvent{gap}, now));
+}
+
+void Control::handle(const PlacementEvent &event)
+{
+    const TimePoint now = m_parts.shared.clock.now();
+    noticeJump(now);
+    carryOut(m_node->handle(event, now));
+}
+
+void Control::onPeer(const PeerEnvelope &envelope)
+{
+    const TimePoint now = m_parts.shared.clock.now();
+    noticeJump(now);
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message))
+        carryOut(m_membership.received(envelope.from, *heartbeat, now));
+    if (const auto *request = std::get_if<StateRequest>(&envelope.message))
+        onStateRequest(envelope.from, *request);
+    if (const auto *offer = std::get_if<StateOffer>(&envelope.message)) {
+        if (offer->path == settingsObjectPath)
+            offerSettings(offer->version, offer->value);
+    }
+    handle(PeerEvent{envelope});
+}
+
+void Control::onStateRequest(const InstanceId &from, const StateRequest &request)
+{
+    const bool newer = m_settings != nullptr && m_settings->version > request.settingsVersion;
+    if (!newer)
+        return;
+    sendPeer(from,
+             StateOffer{std::string(settingsObjectPath), m_settings->version, m_settingsText});
+}
+
+void Control::onStoreChanges(const Result<StoreChanges> &changes)
+{
+    m_storeReachable = changes.hasValue();
+    if (!changes)
+        return;
+    for (const StoreObject &object : changes->objects) {
+        if (object.path == settingsObjectPath)
+            offerSettings(object.version, object.value);
+        else if (object.path.starts_with("status/"))
+            onStatusObject(object);
+        else
+            handle(StoreValueEvent{object.path, object.version, object.value});
+    }
+    writeStatus();
+}
+
+void Control::onStatusObject(const StoreObject &object)
+{
+    const Result<InstanceStatusRecord> record = decodeInstanceStatus(object.value);
+    if (object.path == instanceStatusPath(m_id))
+        m_statusVersion = std::max(m_statusVersion, object.version);
+    if (!record)
+        return;
+    m_statuses[instanceName(record->id)] = *record;
+    carryOut(m_membership.listed(m_listed, m_parts.shared.clock.now()));
+}
+
+void Control::onListed(const Result<std::vector<ListedInstance>> &list)
+{
+    if (!list)
+        return;
+    m_listed.clear();
+    std::set<TargetId> leaving;
+    for (const ListedInstance &entry : *list) {
+        if (entry.role == "target") {
+            if (entry.leaving)
+                leaving.insert(TargetId(entry.id));
+            continue;
+        }
+        ListedInstance named = entry;
+        const auto status = m_statuses.find(entry.id);
+        if (status != m_statuses.end())
+            named.id = status->second.id.text();
+        m_listed.push_back(std::move(named));
+    }
+    updateAddresses();
+    carryOut(m_membership.listed(m_listed, m_parts.shared.clock.now()));
+    if (leaving == m_leavingTargets)
+        return;
+    m_leavingTargets = std::move(leaving);
+    applySettings();
+}
+
+} // namespace yuccaspan::impl
--- /dev/null
+++ b/src/daemon/control.hpp
@@ -0,0 +1,176 @@
+/// \file
+/// \brief The control thread: feeds the placement and membership cores and carries out what they
+/// return.
+#pragma once
+
+#include "yuccaspan/admin.hpp"
+#include "yuccaspan/clock.hpp"
+#include "yuccaspan/instance_status.hpp"
+#include "yuccaspan/membership.hpp"
+#include "yuccaspan/placement.hpp"
+#include "yuccaspan/store_http.hpp"
+
+#include "daemon/instance_settings.hpp"
+#include "daemon/order_sender.hpp"
+#include "daemon/peer_link.hpp"
+#include "http/edge.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace yuccaspan::impl {
+
+/// \brief The parts that control drives. All must outlive it.
+struct ControlParts
+{
+    EdgeShared &shared; ///< State shared with the data path.
+    Edge &edge; ///< The data path.
+    HttpStore &store; ///< The platform's store.
+    PeerLink &peers; ///< The link to other instances.
+    OrderSender &orders; ///< Sends orders to targets.
+};
+
+/// \brief What control shows to other threads.
+struct ControlView
+{
+    std::vector<CellStatus> cells; ///< Cells that this instance knows.
+    std::vector<Member> members; ///< Instances as membership sees them.
+    ObjectVersion settingsVersion; ///< Settings in force.
+    bool storeReachable = false; ///< Whether the latest store call was answered.
+    bool mayStop = false; ///< Whether nothing is left to hand over.
+};
+
+/// \brief Puts settings in force, keeps membership, and runs the placement core.
+class Control
+{
+public:
+    /// \brief Creates control.
+    /// \param settings Settings of the instance.
+    /// \param id Name with start id.
+    /// \param timing Timing of the ownership protocol.
+    /// \param parts What it drives.
+    /// \returns Control, or InvalidArgument for timing that cannot keep the protocol's promises.
+    [[nodiscard]] static Result<std::unique_ptr<Control>> create(const InstanceSettings &settings,
+                                                                 const InstanceId &id,
+                                                                 const PlacementTiming &timing,
+                                                                 ControlParts parts);
+    Control(const Control &) = delete;
+    Control &operator=(const Control &) = delete;
+    ~Control();
+
+    /// \name Safe to call from any thread
+    /// @{
+    /// \brief Starts the thread.
+    void start();
+    /// \brief Ends the thread.
+    void stop();
+    /// \brief Hands over what this instance places.
+    void leave();
+    /// \brief Passes an event to the placement core.
+    void post(PlacementEvent event);
+    /// \brief Takes one frame from another instance.
+    void receivePeer(const std::string &bytes);
+    /// \brief The latest view.
+    [[nodiscard]] std::shared_ptr<const ControlView> view() const { return m_view.get(); }
+    /// \brief Events that were dropped since too many waited.
+    [[nodiscard]] std::uint64_t droppedEvents() const noexcept { return m_droppedEvents; }
+    /// @}
+
+private:
+    /// A held slice whose requests in flight are awaited.
+    struct IdleWatch
+    {
+        CellId cell;
+        KeyRange range;
+        FencingToken token;
+    };
+
+    Control(const InstanceSettings &settings, InstanceId id, const PlacementTiming &timing,
+            ControlParts parts, std::unique_ptr<PlacementNode> node, Membership membership);
+
+    /// \name Events
+    /// @{
+    void armTick();
+    void tick();
+    void handle(const PlacementEvent &event);
+    void noticeJump(TimePoint now);
+    void onPeer(const PeerEnvelope &envelope);
+    void onStoreChanges(const Result<StoreChanges> &changes);
+    void onListed(const Result<std::vector<ListedInstance>> &list);
+    void onStatusObject(const StoreObject &object);
+    void onStateRequest(const InstanceId &from, const StateRequest &request);
+    /// @}
+
+    /// \name Actions
+    /// @{
+    void carryOut(const PlacementActions &actions);
+    void carryOut(const WriteAction &action);
+    void carryOut(const ReadAction &action);
+    void carryOut(const SendPeerAction &action);
+    void carryOut(const SendOrderAction &action);
+    void carryOut(const RoutesAction &action);
+    void carryOut(const SharesAction &action);
+    void carryOut(const LogAction &action);
+    void carryOut(const MembershipOutput &output);
+    /// @}
+
+    /// \name Settings and state
+    /// @{
+    void offerSettings(ObjectVersion version, const std::string &text);
+    void applySettings();
+    void writeStatus();
+    void pollList();
+    void askPeersForState();
+    void reportIdle();
+    void reportLoad();
+    void publishView();
+    void updateAddresses();
+    void sendPeer(const InstanceId &to, const PeerMessage &message);
+    [[nodiscard]] std::vector<TargetObservation> observeTargets(const CellId &cell);
+    [[nodiscard]] std::uint32_t liveInstances() const noexcept;
+    /// @}
+
+    const InstanceSettings m_instance;
+    const InstanceId m_id;
+    const PlacementTiming m_timing;
+    ControlParts m_parts;
+    std::unique_ptr<PlacementNode> m_node;
+    Membership m_membership;
+    boost::asio::io_context m_loop{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::steady_timer m_tick;
+    TimePoint m_lastSeen;
+    TimePoint m_nextList;
+    TimePoint m_nextLoad;
+    TimePoint m_nextView;
+    TimePoint m_nextStateRequest;
+    std::shared_ptr<const Settings> m_settings;
+    std::string m_settingsText;
+    std::set<TargetId> m_leavingTargets;
+    std::vector<ListedInstance> m_listed;
+    std::map<std::string, InstanceStatusRecord> m_statuses;
+    std::vector<Member> m_members;
+    std::vector<IdleWatch> m_idleWatches;
+    std::map<CellId, std::shared_ptr<const CellRoutes>> m_cellRoutes;
+    ObjectVersion m_statusVersion;
+    InstanceStatusRecord m_statusWritten;
+    bool m_statusWriteRunning = false;
+    bool m_storeReachable = false;
+    bool m_leaving = false;
+    std::uint64_t m_loadSequence = 0;
+    std::atomic<std::uint32_t> m_waitingEvents{0};
+    std::atomic<std::uint64_t> m_droppedEvents{0};
+    Published<ControlView> m_view{std::make_shared<const ControlView>()};
+    std::thread m_thread;
+};
+
+} // namespace yuccaspan::impl
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,161 @@
+#include "daemon/daemon.hpp"
+
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace yuccaspan::impl {
+
+namespace {
+
+constexpr std::chrono::milliseconds stopPoll{10};
+
+/// The instance's name with a start id that no earlier start of it had.
+InstanceId makeInstanceId(const std::string &name)
+{
+    std::random_device device;
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    constexpr unsigned randomRange = 100000;
+    return InstanceId(name + "#" + std::to_string(time) + "-"
+                      + std::to_string(device() % randomRange));
+}
+
+} // namespace
+
+Result<std::unique_ptr<Daemon>> Daemon::start(const InstanceSettings &settings)
+{
+    std::unique_ptr<Daemon> daemon(new Daemon(settings));
+    const Status opened = daemon->open();
+    if (!opened)
+        return opened.error();
+    return daemon;
+}
+
+Daemon::Daemon(const InstanceSettings &settings)
+    : m_settings(settings), m_startedAt(m_clock.now()), m_id(makeInstanceId(settings.name))
+{ }
+
+Daemon::~Daemon()
+{
+    if (m_admin != nullptr)
+        m_admin->stop();
+    if (m_store != nullptr)
+        m_store->stop();
+    // Control calls the other parts and they call back into it: its thread ends first, and the
+    // object itself goes last.
+    if (m_control != nullptr)
+        m_control->stop();
+    m_orders.reset();
+    m_peers.reset();
+    m_edge.reset();
+    m_control.reset();
+}
+
+Status Daemon::open()
+{
+    auto log = makeDecisionLog(m_settings.log);
+    if (!log)
+        return log.error();
+    m_log = std::move(*log);
+    m_shared = std::make_unique<EdgeShared>(m_clock, *m_log);
+    for (const auto part : {&Daemon::openStore, &Daemon::openEdge, &Daemon::openControl}) {
+        const Status opened = (this->*part)();
+        if (!opened)
+            return opened;
+    }
+    AdminOptions options;
+    options.address = m_settings.admin.address;
+    options.port = m_settings.admin.port;
+    auto admin = makeAdminServer(options, *this);
+    if (!admin)
+        return admin.error();
+    m_admin = std::move(*admin);
+    m_ports = {m_edge->port(), m_peers->port(), m_admin->port()};
+    return ok();
+}
+
+Status Daemon::openStore()
+{
+    StoreOptions options;
+    options.address = m_settings.store.address;
+    options.port = m_settings.store.port;
+    options.instance = m_settings.name;
+    options.seed = hashKey(m_id.text());
+    auto store = makeHttpStore(options, m_clock);
+    if (!store)
+        return store.error();
+    m_store = std::move(*store);
+    return ok();
+}
+
+Status Daemon::openEdge()
+{
+    EdgeOptions options;
+    options.address = m_settings.callers.address;
+    options.port = m_settings.callers.port;
+    options.workers = m_settings.workers;
+    options.instanceId = m_id.text();
+    auto edge = makeEdge(options, *m_shared);
+    if (!edge)
+        return edge.error();
+    m_edge = std::move(*edge);
+    return ok();
+}
+
+Status Daemon::openControl()
+{
+    const PlacementTiming timing;
+    auto peers = makePeerLink(m_settings.peers.address, m_settings.peers.port,
+                              [this](const std::string &bytes) { receivePeer(bytes); });
+    if (!peers)
+        return peers.error();
+    m_peers = std::move(*peers);
+    m_orders = makeOrderSender(timing.orderTimeout, [this](TargetAnswerEvent event) {
+        m_control->post(std::move(event));
+    });
+    const ControlParts parts{*m_shared, *m_edge, *m_store, *m_peers, *m_orders};
+    auto control = Control::create(m_settings, m_id, timing, parts);
+    if (!control)
+        return control.error();
+    m_control = std::move(*control);
+    m_control->start();
+    m_controlRuns = true;
+    return ok();
+}
+
+void Daemon::receivePeer(const std::string &bytes)
+{
+    // Peers may connect before control exists; what they send then is lost and will be repeated.
+    if (m_controlRuns)
+        m_control->receivePeer(bytes);
+}
+
+Status Daemon::stop()
+{
+    const TimePoint limit = m_clock.now() + m_settings.stopLimit;
+    m_leaving = true;
+    m_log->write("lifecycle", "Stopping: not ready any more, waiting for the balancer.");
+    m_control->leave();
+    std::this_thread::sleep_for(m_settings.balancerWait);
+    m_shared->closing = true;
+    m_edge->stopAccepting();
+    m_log->write("lifecycle", "Finishing the requests under way.");
+    const bool idle = waitUntilIdle(limit);
+    m_log->write("lifecycle", idle ? "Stopped with nothing under way." : "Stopped at the limit.");
+    if (!idle)
+        return Error{ErrorCode::Timeout, "requests were still under way", {}};
+    return ok();
+}
+
+bool Daemon::waitUntilIdle(TimePoint limit) const
+{
+    while (m_clock.now() < limit) {
+        if (m_shared->active == 0 && m_control->view()->mayStop)
+            return true;
+        std::this_thread::sleep_for(stopPoll);
+    }
+    return m_shared->active == 0;
+}
+
+} // namespace yuccaspan::impl
--- /dev/null
+++ b/src/daemon/peer_link.hpp
@@ -0,0 +1,62 @@
+/// \file
+/// \brief Carries messages between entry instances over TCP, one frame a message.
+///
+/// Delivery is not guaranteed: a full outbox drops its oldest message, and a peer that does not
+/// take its messages in time is reconnected to. The messages allow for that.
+#pragma once
+
+#include "yuccaspan/result.hpp"
+#include "yuccaspan/store_http.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace yuccaspan::impl {
+
+/// \brief Longest message, in bytes.
+inline constexpr std::size_t maxPeerFrameBytes = 4U << 20U;
+
+/// \brief Counts of messages since the start.
+struct PeerCounters
+{
+    std::uint64_t sent = 0; ///< Messages written.
+    std::uint64_t received = 0; ///< Messages read.
+    std::uint64_t dropped = 0; ///< Messages dropped from a full outbox or a broken connection.
+    std::uint64_t bytesSent = 0; ///< Bytes written.
+    std::uint64_t bytesReceived = 0; ///< Bytes read.
+};
+
+/// \brief The link to the other instances. Runs a thread of its own.
+class PeerLink
+{
+public:
+    /// \brief Receives each message, on the link's thread.
+    using Receiver = std::function<void(std::string)>;
+
+    PeerLink() = default;
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+    virtual ~PeerLink() = default;
+
+    /// \brief The port it listens on.
+    [[nodiscard]] virtual std::uint16_t port() const noexcept = 0;
+    /// \brief Sets the addresses of the peers by their names; others are disconnected.
+    virtual void setAddresses(std::map<std::string, HostPort> addresses) = 0;
+    /// \brief Sends a message to a peer; does nothing for an unknown name.
+    virtual void send(const std::string &name, std::string bytes) = 0;
+    /// \brief The counts. May be read from any thread.
+    [[nodiscard]] virtual PeerCounters counters() const noexcept = 0;
+};
+
+/// \brief Starts the link.
+/// \param address IP address to listen on.
+/// \param port TCP port; 0 lets the system choose.
+/// \param receiver Receives the messages.
+/// \returns The link, or Unavailable if the port cannot be had.
+[[nodiscard]] Result<std::unique_ptr<PeerLink>>
+makePeerLink(const std::string &address, std::uint16_t port, PeerLink::Receiver receiver);
+
+} // namespace yuccaspan::impl
