--- a/include/yuccaspan/peer_message.hpp
+++ b/include/yuccaspan/peer_message.hpp
@@ -30,6 +30,8 @@
     bool storeReachable = false; ///< Whether the sender's last store call succeeded.
     std::vector<InstanceId> hears; ///< Instances the sender has heard from lately.
     std::vector<CellId> places; ///< Cells whose placer the sender is.
+
+    [[nodiscard]] friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
 
 /// \brief A placer asks a candidate not to take over.
@@ -39,6 +41,8 @@
     Term term; ///< Term of the placer.
     std::uint64_t sequence = 0; ///< Matches the answer to the request.
     Duration duration{}; ///< For how long, counted by the asker from sending.
+
+    [[nodiscard]] friend bool operator==(const PromiseRequest &, const PromiseRequest &) = default;
 };
 
 /// \brief A candidate's answer to a PromiseRequest.
@@ -49,6 +53,8 @@
     std::uint64_t sequence = 0; ///< Sequence of the request.
     bool granted = false; ///< Whether the candidate promises.
     Term knownTerm; ///< Highest term that the candidate knows.
+
+    [[nodiscard]] friend bool operator==(const PromiseAnswer &, const PromiseAnswer &) = default;
 };
 
 /// \brief A share of a target's capacity that an instance may use.
@@ -58,6 +64,8 @@
     double slots = 0; ///< Requests at once; may be a fraction of one.
     std::uint32_t connections = 0; ///< Connections at once.
     std::uint32_t coldSlots = 0; ///< Requests at once while the target is starting.
+
+    [[nodiscard]] friend bool operator==(const CapacityShare &, const CapacityShare &) = default;
 };
 
 /// \brief A placer tells an entry instance the routes of a cell and renews its view lease.
@@ -78,6 +86,8 @@
     std::uint64_t echoSequence = 0; ///< Highest RouteAck sequence that the placer has received.
     std::vector<Route> routes; ///< Changed routes.
     std::vector<CapacityShare> shares; ///< Shares of the targets for the receiver.
+
+    [[nodiscard]] friend bool operator==(const RouteUpdate &, const RouteUpdate &) = default;
 };
 
 /// \brief An entry instance confirms a RouteUpdate.
@@ -89,6 +99,8 @@
     std::uint64_t leaseSequence = 0; ///< Highest leaseSequence received.
     std::uint64_t ackSequence = 0; ///< Grows with each RouteAck of the sender in the term.
     std::vector<KeyRange> idle; ///< Held slices with no request in flight at the sender.
+
+    [[nodiscard]] friend bool operator==(const RouteAck &, const RouteAck &) = default;
 };
 
 /// \brief Load of one slice as an entry instance measured it.
@@ -97,6 +109,8 @@
     KeyRange range; ///< Which slice, or a hot key alone if first equals last.
     double requestsPerSecond = 0; ///< Requests that arrived.
     double busySlots = 0; ///< Mean number of requests running at the target.
+
+    [[nodiscard]] friend bool operator==(const SliceLoad &, const SliceLoad &) = default;
 };
 
 /// \brief What an entry instance observed of one target.
@@ -106,6 +120,9 @@
     double slowdown = 1; ///< Latency over the usual latency; 1 is usual.
     double demandSlots = 0; ///< Slots that the instance's requests would use at once.
     std::uint32_t consecutiveFailures = 0; ///< Connection failures in a row.
+
+    [[nodiscard]] friend bool operator==(const TargetObservation &,
+                                         const TargetObservation &) = default;
 };
 
 /// \brief An entry instance tells a cell's placer what it measured.
@@ -115,12 +132,16 @@
     std::uint64_t sequence = 0; ///< Grows with each report of the sender.
     std::vector<SliceLoad> slices; ///< Slices with load, and hot keys.
     std::vector<TargetObservation> targets; ///< Targets of the cell's slices.
+
+    [[nodiscard]] friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
 /// \brief An instance asks another for what it missed while the store is down.
 struct StateRequest
 {
     ObjectVersion settingsVersion; ///< Settings in force at the sender.
+
+    [[nodiscard]] friend bool operator==(const StateRequest &, const StateRequest &) = default;
 };
 
 /// \brief An object of the store as the sender knows it, for receivers that cannot reach the store.
@@ -129,6 +150,8 @@
     std::string path; ///< Path in the store.
     ObjectVersion version; ///< Its version.
     std::string value; ///< Its value.
+
+    [[nodiscard]] friend bool operator==(const StateOffer &, const StateOffer &) = default;
 };
 
 /// \brief Any message between entry instances.
@@ -140,6 +163,8 @@
 {
     InstanceId from; ///< The sender.
     PeerMessage message; ///< The message.
+
+    [[nodiscard]] friend bool operator==(const PeerEnvelope &, const PeerEnvelope &) = default;
 };
 
 /// \brief Encodes a message in Thrift's compact protocol.
