Settings of many targets read in linear time; administration server drains before it closes

Cause: finding the line of each key counted from the start of the text, quadratic in its length; an answer such as 413 could be discarded on its way when the server closed with unread bytes. Documents are published without blanks, so that more targets fit into the store's megabyte.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <thread>
@@ -28,6 +29,9 @@
 constexpr std::uint32_t maxHeaderBytes = 16U << 10U;
 constexpr std::uint64_t maxBodyBytes = 64U << 10U;
 constexpr std::chrono::milliseconds acceptRetryDelay{100};
+constexpr std::chrono::seconds drainTime{1};
+constexpr std::size_t drainStep = 4U << 10U;
+constexpr std::size_t maxDrainedBytes = 256U << 10U;
 
 class AdminServerImpl;
 
@@ -51,6 +55,8 @@
     void received(error_code failure);
     void send(AdminAnswer answer, bool keepAlive);
     void sent(error_code failure, bool keepAlive);
+    void drain(std::size_t bytesLeft);
+    void end();
 
     AdminServerImpl &m_server;
     beast::tcp_stream m_stream;
@@ -172,10 +178,8 @@
         malformed.status = 400;
         return send(std::move(malformed), false);
     }
-    if (failure) {
-        close();
-        return m_server.forget(shared_from_this());
-    }
+    if (failure)
+        return end();
     const http::request<http::string_body> &request = m_parser->get();
     const AdminRequest plain{std::string(request.method_string()), std::string(request.target()),
                              request.body()};
@@ -202,10 +206,31 @@
 
 void AdminSession::sent(error_code failure, bool keepAlive)
 {
-    if (!failure && keepAlive)
+    if (failure)
+        return end();
+    if (keepAlive)
         return receive();
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(drainTime);
+    drain(maxDrainedBytes);
+}
+
+/// Reads what the caller still sends, so that closing does not discard the answer on its way.
+void AdminSession::drain(std::size_t bytesLeft)
+{
+    m_buffer.clear();
+    m_stream.async_read_some(
+        m_buffer.prepare(std::min(bytesLeft, drainStep)),
+        [self = shared_from_this(), bytesLeft](error_code failure, std::size_t bytes) {
+            if (failure || bytes >= bytesLeft)
+                return self->end();
+            self->drain(bytesLeft - bytes);
+        });
+}
+
+void AdminSession::end()
+{
     close();
     m_server.forget(shared_from_this());
 }
--- a/src/ctl/publish.cpp
+++ b/src/ctl/publish.cpp
@@ -106,7 +106,7 @@
 Result<ObjectVersion> publish(StoreSession &store, ObjectVersion expected, const Json &document)
 {
     const std::string path(settingsObjectPath);
-    const std::string value = document.dump(2);
+    const std::string value = document.dump();
     Backoff backoff = makeBackoff();
     bool maybeWritten = false;
     Result<ObjectVersion> written = store.write(path, expected, value);
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -8,18 +8,35 @@
 
 namespace {
 
-/// Line and column of a byte of a text.
-SourcePlace placeOf(const std::string &file, std::string_view text, std::size_t offset)
+/// Finds lines and columns. Fast when asked for ever later bytes.
+class LineCounter
 {
-    const std::string_view before = text.substr(0, std::min(offset, text.size()));
-    const std::size_t lineBreak = before.rfind('\n');
-    const std::size_t lineStart = lineBreak == std::string_view::npos ? 0 : lineBreak + 1;
-    SourcePlace place;
-    place.file = file;
-    place.line = static_cast<std::uint32_t>(1 + std::ranges::count(before, '\n'));
-    place.column = static_cast<std::uint32_t>(1 + before.size() - lineStart);
-    return place;
-}
+public:
+    LineCounter(std::string file, std::string_view text) : m_file(std::move(file)), m_text(text) { }
+
+    /// Line and column of a byte of the text.
+    SourcePlace place(std::size_t offset)
+    {
+        offset = std::min(offset, m_text.size());
+        if (offset < m_offset)
+            m_offset = m_lineStart = m_line = 0;
+        for (; m_offset < offset; ++m_offset) {
+            if (m_text[m_offset] != '\n')
+                continue;
+            ++m_line;
+            m_lineStart = m_offset + 1;
+        }
+        return {m_file, "", static_cast<std::uint32_t>(m_line + 1),
+                static_cast<std::uint32_t>(offset - m_lineStart + 1)};
+    }
+
+private:
+    std::string m_file;
+    std::string_view m_text;
+    std::size_t m_offset = 0;
+    std::size_t m_line = 0;
+    std::size_t m_lineStart = 0;
+};
 
 /// Offset of the opening quote of a string that ends just before `end`.
 std::size_t openingQuote(std::string_view text, std::size_t end)
@@ -43,9 +60,9 @@
 {
 public:
     PlaceRecorder(std::string file, std::string_view text, std::istream &stream)
-        : m_file(std::move(file)), m_text(text), m_stream(stream)
+        : m_lines(std::move(file), text), m_text(text), m_stream(stream)
     {
-        m_result.places[""] = SourcePlace{m_file, "", 1, 1};
+        m_result.places[""] = m_lines.place(0);
     }
 
     ParsedJson take()
@@ -93,7 +110,7 @@
 
     bool fail(ErrorCode code, std::string text)
     {
-        m_result.errors.push_back({code, std::move(text), placeOf(m_file, m_text, offset())});
+        m_result.errors.push_back({code, std::move(text), m_lines.place(offset())});
         return false;
     }
 
@@ -140,7 +157,7 @@
         return childPointer(level.pointer, m_key);
     }
 
-    std::string m_file;
+    LineCounter m_lines;
     std::string_view m_text;
     std::istream &m_stream;
     ParsedJson m_result;
@@ -154,7 +171,7 @@
         return fail(ErrorCode::LimitExceeded, "key is longer than 4096 bytes");
     m_key = name;
     const std::string pointer = nextPointer();
-    SourcePlace place = placeOf(m_file, m_text, openingQuote(m_text, offset()));
+    SourcePlace place = m_lines.place(openingQuote(m_text, offset()));
     place.pointer = pointer;
     if (m_levels.back().container->contains(name))
         m_result.errors.push_back({ErrorCode::ParseFailed, "key is given twice", place});
@@ -170,7 +187,7 @@
     if (tag != std::string::npos)
         text.erase(0, tag + 2);
     const std::size_t at = position == 0 ? 0 : position - 1;
-    m_result.errors.push_back({ErrorCode::ParseFailed, text, placeOf(m_file, m_text, at)});
+    m_result.errors.push_back({ErrorCode::ParseFailed, text, m_lines.place(at)});
     return false;
 }
 
--- a/src/settings/settings_io.cpp
+++ b/src/settings/settings_io.cpp
@@ -62,7 +62,7 @@
         addIndependent(errors, checkRules(settings, merged.value));
     }
     if (errors.empty())
-        return LoadedSettings{std::move(settings), merged.value.dump(2)};
+        return LoadedSettings{std::move(settings), merged.value.dump()};
     for (Error &error : errors)
         error.place = placeOfPointer(merged.places, error.place.pointer);
     return errors;
@@ -152,7 +152,7 @@
 
 std::string writeSettings(const Settings &settings)
 {
-    return impl::settingsToJson(settings).dump(2);
+    return impl::settingsToJson(settings).dump();
 }
 
 } // namespace yuccaspan
