--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -73,6 +73,17 @@
     return jobs;
 }
 
+void keepFigures(std::vector<RunPair> &pairs, const std::string &filter)
+{
+    const auto differs = [&](const Figure &figure) {
+        return figure.name.find(filter) == std::string::npos;
+    };
+    for (RunPair &pair : pairs) {
+        std::erase_if(pair.figures, differs);
+        std::erase_if(pair.baseline, differs);
+    }
+}
+
 int run(int argc, char **argv)
 {
     cxxopts::Options options("bench_policy",
@@ -88,6 +99,8 @@
         cxxopts::value<std::string>()->default_value(""))(
         "shape", "only deployments whose name contains this",
         cxxopts::value<std::string>()->default_value(""))(
+        "figure", "only figures whose name contains this",
+        cxxopts::value<std::string>()->default_value(""))(
         "jobs", "runs at once", cxxopts::value<unsigned>()->default_value("3"))(
         "list", "list the scenarios")("help", "show this text");
     const auto parsed = options.parse(argc, argv);
@@ -108,7 +121,12 @@
         std::cerr << "bench_policy: no scenario of that name\n";
         return 2;
     }
-    const std::vector<RunPair> pairs = runAll(jobs, std::max(1U, parsed["jobs"].as<unsigned>()));
+    std::vector<RunPair> pairs = runAll(jobs, std::max(1U, parsed["jobs"].as<unsigned>()));
+    keepFigures(pairs, parsed["figure"].as<std::string>());
+    if (pairs.front().figures.empty()) {
+        std::cerr << "bench_policy: no figure of that name\n";
+        return 2;
+    }
     const std::size_t missed = writeTable(std::cout, pairs);
     if (const auto path = parsed["json"].as<std::string>(); !path.empty()) {
         std::ofstream file(path);
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 /// Largest surplus, as a fraction of the share.
-constexpr double maxSurplus = 1;
+constexpr double maxSurplus = 3;
 /// Growth with each answer in time.
-constexpr double growth = 0.02;
+constexpr double growth = 0.05;
 /// Factor applied with each late answer.
 constexpr double decrease = 0.8;
 /// An answer is late beyond this many usual latencies.
-constexpr double lateFactor = 2.5;
+constexpr double lateFactor = 1.8;
 } // namespace
 
 void ConcurrencyLimit::answered(Duration latency, Duration usual) noexcept
--- a/src/admission/target_gate.cpp
+++ b/src/admission/target_gate.cpp
@@ -18,6 +18,8 @@
 namespace {
 /// Sums of fractions fall just short of, or just beyond, a whole slot.
 constexpr double roundingSlack = 1e-6;
+/// Time without requests after which the present latency is unknown.
+constexpr Duration idleSpell = std::chrono::seconds(3);
 /// Weight of a sample in the mean number of requests running and waiting.
 constexpr double demandWeight = 0.05;
 } // namespace
@@ -55,6 +57,7 @@
     [[nodiscard]] GateAnswer enqueue(const Ticket &ticket);
     [[nodiscard]] Duration oldestAge(TimePoint now) const noexcept;
     void noteOutcome(FinishKind kind, Duration latency, TimePoint now);
+    void takeSlot(std::uint64_t id, TimePoint now);
     void noteDemand() noexcept;
     [[nodiscard]] GateRelease release(TimePoint now);
 
@@ -71,6 +74,7 @@
     LatencyEstimator m_latency;
     ConcurrencyLimit m_concurrency;
     SlotTimeBudget m_slotTime;
+    TimePoint m_lastUsed; ///< When a request was sent or ended last.
     double m_demand = 0;
     std::uint32_t m_failuresInARow = 0;
 };
@@ -80,7 +84,7 @@
     if (ticket.deadline <= now)
         return {GateDecision::Refuse, Reason::WouldMissDeadline};
     if (m_queue.empty() && maySend(now)) {
-        m_running.emplace(ticket.id, now);
+        takeSlot(ticket.id, now);
         noteDemand();
         return {GateDecision::Send, Reason::Answered};
     }
@@ -109,10 +113,20 @@
     return {GateDecision::Wait, Reason::Answered};
 }
 
+void Gate::takeSlot(std::uint64_t id, TimePoint now)
+{
+    // What was measured before a long idle spell says nothing of the target's present latency.
+    if (m_running.empty() && now - m_lastUsed > idleSpell)
+        m_latency.restart();
+    m_running.emplace(id, now);
+    m_lastUsed = now;
+}
+
 GateRelease Gate::finished(std::uint64_t id, FinishKind kind, Duration latency, TimePoint now)
 {
     if (m_running.erase(id) != 0) {
         m_slotTime.spend(latency);
+        m_lastUsed = now;
         noteOutcome(kind, latency, now);
     }
     return release(now);
@@ -160,7 +174,7 @@
         result.refuse.push_back({ticket.id, reason});
     while (!m_queue.empty() && maySend(now)) {
         const Ticket ticket = m_queue.popFirst();
-        m_running.emplace(ticket.id, now);
+        takeSlot(ticket.id, now);
         result.send.push_back(ticket.id);
     }
     return result;
--- a/src/ownership/authority.cpp
+++ b/src/ownership/authority.cpp
@@ -20,20 +20,15 @@
     last = std::max(last, sentAt);
 }
 
-void Authority::keep(TimePoint until)
-{
-    m_keptUntil = std::max(m_keptUntil, until);
-}
-
 TimePoint Authority::until(const std::vector<InstanceId> &candidates,
-                           const std::vector<InstanceId> *pending, TimePoint now) const
+                           const std::vector<InstanceId> *pending) const
 {
-    TimePoint promised = promisedUntil(candidates, now);
+    TimePoint promised = promisedUntil(candidates);
     if (pending != nullptr)
-        promised = std::min(promised, promisedUntil(*pending, now));
+        promised = std::min(promised, promisedUntil(*pending));
     const TimePoint confirmed =
         m_confirmedAt == TimePoint() ? TimePoint() : m_confirmedAt + m_length;
-    return std::max({promised, confirmed, m_keptUntil});
+    return std::max(promised, confirmed);
 }
 
 std::optional<TimePoint> Authority::lastPromise(const InstanceId &candidate) const
@@ -42,7 +37,7 @@
     return found == m_promises.end() ? std::nullopt : std::optional(found->second);
 }
 
-TimePoint Authority::promisedUntil(const std::vector<InstanceId> &candidates, TimePoint now) const
+TimePoint Authority::promisedUntil(const std::vector<InstanceId> &candidates) const
 {
     std::vector<TimePoint> times;
     for (const InstanceId &candidate : candidates) {
@@ -52,7 +47,7 @@
     const std::size_t others = promisesNeeded(candidates.size()) - 1;
     // A sole candidate agrees with itself: nobody else may take over while it runs.
     if (others == 0)
-        return now + m_length;
+        return TimePoint::max();
     if (others > times.size())
         return TimePoint();
     std::ranges::sort(times, std::greater<>());
--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -131,11 +131,13 @@
     double allLoad = model.totalLoad;
     double allCapacity = 0;
     bool homeIsSound = true;
+    bool othersAreKnown = true;
     for (const ModelTarget &target : model.targets) {
         if (!target.usable || !target.isSound()) {
             homeIsSound = homeIsSound && !target.home;
             continue;
         }
+        othersAreKnown = othersAreKnown && (target.home || target.otherLoadKnown);
         allLoad += target.otherLoad;
         allCapacity += target.capacity;
         homeLoad += target.home ? target.otherLoad : 0;
@@ -144,8 +146,10 @@
     const double begin = homeIsSound ? lendTrigger : lendTriggerUnsound;
     const double factor = m_lending ? lendEnd : begin;
     const double homeRatio = homeCapacity > 0 ? homeLoad / homeCapacity : HUGE_VAL;
+    // Targets of unknown load are only used if the home zone has none that is sound.
+    const bool mayHelp = allCapacity > 0 && (othersAreKnown || homeCapacity <= 0);
     const bool needsHelp =
-        homeRatio > lendMinRatio && allCapacity > 0 && homeRatio > factor * allLoad / allCapacity;
+        mayHelp && homeRatio > lendMinRatio && homeRatio > factor * allLoad / allCapacity;
     if (needsHelp)
         m_helpNeededAt = now;
     return needsHelp || (m_lending && now - m_helpNeededAt < lendPatience);
--- a/src/placement_policy/cell_model.cpp
+++ b/src/placement_policy/cell_model.cpp
@@ -54,6 +54,7 @@
         target.warm = !source.cold;
         target.capacity = std::max(minCapacity, capacity[index]);
         target.otherLoad = source.otherLoad.value_or(0);
+        target.otherLoadKnown = source.otherLoad.has_value();
         target.load = target.otherLoad;
         targets.push_back(target);
         m_indexes.emplace(source.id, index);
--- a/src/placement_policy/cell_model.hpp
+++ b/src/placement_policy/cell_model.hpp
@@ -41,6 +41,7 @@
     bool eligible = false; ///< Whether the plan may give it slices.
     double capacity = 1; ///< Slots that it can use at present, with slowness and start allowed for.
     double otherLoad = 0; ///< Load of its slices of other cells, in slots.
+    bool otherLoadKnown = false; ///< Whether that load is known.
     double load = 0; ///< Load of all its slices, in slots.
 
     /// \brief Whether it bears a full load.
--- a/tests/balance/test_balance.cpp
+++ b/tests/balance/test_balance.cpp
@@ -46,6 +46,19 @@
     EXPECT_EQ(cell.ownedBy(2) + cell.ownedBy(3), 0U);
 }
 
+TEST(Balance, LendsUnderLoadOnlyToTargetsOfKnownLoad)
+{
+    for (const bool known : {true, false}) {
+        CellFixture cell(2, 4, 8);
+        for (std::size_t index = 2; index < cell.targets.size() && !known; ++index)
+            cell.targets[index].otherLoad.reset();
+        cell.setLoads(std::vector<double>(16, 60)); // 9.6 busy slots of the home zone's 12
+        cell.run(tenSeconds);
+        const bool lent = cell.ownedBy(0) + cell.ownedBy(1) < cell.record.slices.size();
+        EXPECT_EQ(lent, known);
+    }
+}
+
 TEST(Balance, GivesAStartingTargetNothingForItsStart)
 {
     CellFixture cell(4, 0, 4);
