Shorter steps of edits in yuccaspanctl

Cause: editStored had grown to forty lines, and the tests wrapped a store only to hand it out. Conclusion: applying an edit and checking its result is a step of its own; the store is opened as a shared pointer.

--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -94,7 +94,7 @@
 [[nodiscard]] CommandOutput usageFailure(const std::string &text);
 
 /// \brief Opens the store that an option names.
-using OpenStore = std::function<Result<std::unique_ptr<Store>>(const HostPort &)>;
+using OpenStore = std::function<Result<std::shared_ptr<Store>>(const HostPort &)>;
 
 /// \brief Reads the command line, runs the command and prints its output.
 /// \param arguments The command line without the program's name.
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -9,7 +9,7 @@
 
 using namespace yuccaspan;
 
-Result<std::unique_ptr<Store>> openStore(const HostPort &peer)
+Result<std::shared_ptr<Store>> openStore(const HostPort &peer)
 {
     static const SystemClock clock;
     StoreOptions options;
@@ -19,7 +19,7 @@
     Result<std::unique_ptr<HttpStore>> store = makeHttpStore(std::move(options), clock);
     if (!store)
         return store.error();
-    return std::unique_ptr<Store>(std::move(*store));
+    return std::shared_ptr<Store>(std::move(*store));
 }
 
 } // namespace
--- a/src/ctl/publish.cpp
+++ b/src/ctl/publish.cpp
@@ -3,6 +3,7 @@
 #include "yuccaspan/backoff.hpp"
 #include "yuccaspan/settings_io.hpp"
 
+#include <optional>
 #include <random>
 
 namespace yuccaspan::impl {
@@ -67,6 +68,30 @@
                  {}};
 }
 
+/// The document with an edit, which passes every check.
+Result<Json> applyEdit(const StoredSettings &stored, const SettingsEdit &edit)
+{
+    const Json::json_pointer pointer(edit.pointer);
+    if (!stored.document.contains(pointer))
+        return Error{ErrorCode::NotFound,
+                     "no " + edit.pointer + " in settings " + versionText(stored.version),
+                     {}};
+    Json changed = stored.document;
+    changed[pointer].merge_patch(edit.patch);
+    const SettingsResult checked = checkSettings(changed.dump());
+    if (const auto *errors = std::get_if<std::vector<Error>>(&checked))
+        return errors->front();
+    return changed;
+}
+
+Error sameMemberChanged(const SettingsEdit &edit)
+{
+    return {ErrorCode::Conflict,
+            "another operator has changed " + edit.pointer
+                + "; nothing was changed by this command",
+            {}};
+}
+
 } // namespace
 
 Result<StoredSettings> readStored(StoreSession &store)
@@ -133,29 +158,20 @@
 {
     const Json::json_pointer pointer(edit.pointer);
     Result<StoredSettings> stored = readStored(store);
-    Json memberBefore;
+    std::optional<Json> memberBefore;
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
         if (!stored)
             return stored.error();
-        if (!stored->document.contains(pointer))
-            return Error{ErrorCode::NotFound,
-                         "no " + edit.pointer + " in settings " + versionText(stored->version),
-                         {}};
-        Json changed = stored->document;
-        const Json member = changed[pointer];
-        changed[pointer].merge_patch(edit.patch);
-        if (changed == stored->document)
+        const Result<Json> changed = applyEdit(*stored, edit);
+        if (!changed)
+            return changed.error();
+        if (*changed == stored->document)
             return EditResult{stored->version, false};
-        if (attempt > 0 && member != memberBefore)
-            return Error{ErrorCode::Conflict,
-                         "another operator has changed " + edit.pointer
-                             + "; nothing was changed by this command",
-                         {}};
+        const Json member = stored->document.at(pointer);
+        if (memberBefore && member != *memberBefore)
+            return sameMemberChanged(edit);
         memberBefore = member;
-        const SettingsResult checked = checkSettings(changed.dump());
-        if (const auto *errors = std::get_if<std::vector<Error>>(&checked))
-            return errors->front();
-        const Result<ObjectVersion> version = publish(store, stored->version, changed);
+        const Result<ObjectVersion> version = publish(store, stored->version, *changed);
         if (version)
             return EditResult{*version, true};
         if (version.error().code != ErrorCode::Conflict)
--- a/src/ctl/run_ctl.cpp
+++ b/src/ctl/run_ctl.cpp
@@ -98,13 +98,13 @@
         return usageFailure(std::string("expected ") + command->name + ' ' + command->usage);
     if (command->needsStore && options.store.empty())
         return usageFailure(options.command + " needs --store URL");
-    std::unique_ptr<Store> store;
+    std::shared_ptr<Store> store;
     std::optional<StoreSession> session;
     if (!options.store.empty()) {
         const Result<HostPort> peer = parseHostPort(options.store);
         if (!peer)
             return failure(peer.error());
-        Result<std::unique_ptr<Store>> opened = openStore(*peer);
+        Result<std::shared_ptr<Store>> opened = openStore(*peer);
         if (!opened)
             return failure(opened.error());
         store = std::move(*opened);
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -18,33 +18,6 @@
 
 using nlohmann::json;
 
-/// Hands every command the same store.
-class SharedStore : public Store
-{
-public:
-    explicit SharedStore(Store &store) : m_store(store) { }
-    void get(std::string path, Callback<StoreObject> done) override
-    {
-        m_store.get(std::move(path), std::move(done));
-    }
-    void put(std::string path, ObjectVersion expected, std::string value,
-             Callback<ObjectVersion> done) override
-    {
-        m_store.put(std::move(path), expected, std::move(value), std::move(done));
-    }
-    void watch(std::string prefix, std::uint64_t after, Callback<StoreChanges> done) override
-    {
-        m_store.watch(std::move(prefix), after, std::move(done));
-    }
-    void listInstances(Callback<std::vector<ListedInstance>> done) override
-    {
-        m_store.listInstances(std::move(done));
-    }
-
-private:
-    Store &m_store;
-};
-
 const char *const baseFile = R"({"schema": 1,
   "zones": {"a": {"region": "r"}, "b": {"region": "r"}},
   "services": {"stock": {"pathPrefix": "/stock",
@@ -89,8 +62,8 @@
 
     Outcome runPlain(const std::vector<std::string> &arguments)
     {
-        const auto open = [this](const HostPort &) -> Result<std::unique_ptr<Store>> {
-            return std::unique_ptr<Store>(std::make_unique<SharedStore>(store));
+        const auto open = [this](const HostPort &) -> Result<std::shared_ptr<Store>> {
+            return std::shared_ptr<Store>(&store, [](Store *) {});
         };
         std::ostringstream out;
         std::ostringstream err;
