Placer does nothing for plain renewals; a target is lost after 600 ms of silence

Change: an answer that only renews an unchanged set is left to the next tick. A target is lost after 600 ms without an answer; its grant lapses 1.2 s after the last one in any case, so a real loss is not served later.

The tick itself still goes over all slices.

--- a/include/yuccaspan/placement.hpp
+++ b/include/yuccaspan/placement.hpp
@@ -259,6 +259,7 @@
     Duration promiseInterval = std::chrono::milliseconds(200); ///< Between requests for promises.
     Duration suspectAfter = std::chrono::milliseconds(450); ///< Silence before a takeover.
     Duration orderTimeout = std::chrono::milliseconds(150); ///< Wait for a target's answer.
+    Duration targetLostAfter = std::chrono::milliseconds(600); ///< Silence before a target is lost.
     Duration viewLeaseLength = std::chrono::milliseconds(1000); ///< Longest view lease.
     Duration pauseLimit = std::chrono::milliseconds(200); ///< A larger gap is a ClockJumpEvent.
     double maxDriftRate = 0.001; ///< Largest difference of two clocks' rates.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -60,7 +60,7 @@
     m_log = std::move(*log);
     m_shared = std::make_unique<EdgeShared>(m_clock, *m_log);
     for (const auto part : {&Daemon::openStore, &Daemon::openEdge, &Daemon::openControl}) {
-        const Status opened = (this->*part)();
+        Status opened = (this->*part)();
         if (!opened)
             return opened;
     }
--- a/src/ownership/grant_book.cpp
+++ b/src/ownership/grant_book.cpp
@@ -92,7 +92,7 @@
         if (entry.order && now - entry.order->sentAt > limit) {
             entry.order.reset();
             AnswerEffect ignored;
-            noteSilence(entry, ignored);
+            noteSilence(entry, ignored, timing, now);
         }
     }
     std::erase_if(m_revokes, [&](const auto &item) { return now - item.second.sentAt > limit; });
@@ -158,6 +158,7 @@
         if (answer.verdict == TargetVerdict::Accepted && answer.startId == revoke->second.startId)
             effect.revoked = revoke->second;
         m_revokes.erase(revoke);
+        effect.isChange = true;
         if (answer.verdict != TargetVerdict::NoAnswer)
             noteAnswer(entry, answer, effect, now);
         return effect;
@@ -167,11 +168,15 @@
     const OrderInFlight order = *entry.order;
     entry.order.reset();
     if (answer.verdict == TargetVerdict::NoAnswer) {
-        noteSilence(entry, effect);
+        noteSilence(entry, effect, timing, now);
+        effect.isChange = true;
         entry.nextAt = std::min(entry.nextAt, now + timing.tickInterval);
         return effect;
     }
     noteAnswer(entry, answer, effect, now);
+    const bool isRenewal = answer.verdict == TargetVerdict::Accepted && order.setVersion != 0
+        && entry.ackedSetVersion == order.setVersion;
+    effect.isChange = !isRenewal || effect.isBack;
     if (order.setVersion == 0)
         entry.nextAt = entry.set.empty() ? entry.nextAt : now;
     if (answer.verdict == TargetVerdict::Accepted && order.setVersion != 0
@@ -201,10 +206,14 @@
     effect.isBack = before == TargetPhase::Unknown || before == TargetPhase::Lost;
 }
 
-void GrantBook::noteSilence(TargetEntry &entry, AnswerEffect &effect)
+void GrantBook::noteSilence(TargetEntry &entry, AnswerEffect &effect, const PlacementTiming &timing,
+                            TimePoint now)
 {
     entry.lastAnswered = false;
     const TargetPhase before = entry.life.phase();
+    const bool isShortSilence = now - entry.clockAt < timing.targetLostAfter;
+    if (before == TargetPhase::Silent && isShortSilence)
+        return;
     const TargetPhase after = entry.life.handle(TargetSignal::Unanswered);
     effect.isLost = before != TargetPhase::Lost && after == TargetPhase::Lost;
 }
--- a/src/ownership/grant_book.hpp
+++ b/src/ownership/grant_book.hpp
@@ -56,6 +56,7 @@
     bool isNewStart = false; ///< The target was restarted.
     bool isLost = false; ///< The target has just been given up.
     bool isBack = false; ///< The target answers again, or for the first time.
+    bool isChange = false; ///< More than the renewal of an unchanged set came of it.
     std::optional<RevokeInFlight> revoked; ///< A revoke that was accepted.
 };
 
@@ -126,7 +127,8 @@
     void expireOrders(const PlacementTiming &timing, TimePoint now);
     void noteAnswer(TargetEntry &entry, const TargetAnswer &answer, AnswerEffect &effect,
                     TimePoint now);
-    void noteSilence(TargetEntry &entry, AnswerEffect &effect);
+    void noteSilence(TargetEntry &entry, AnswerEffect &effect, const PlacementTiming &timing,
+                     TimePoint now);
     [[nodiscard]] std::optional<Extension> grant(Context &context, const TargetId &target,
                                                  TargetEntry &entry, TimePoint authorityUntil,
                                                  TimePoint now);
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -179,7 +179,9 @@
         context.log("ownership", "Target " + event.target.text() + " does not answer.");
     if (effect.isLost || effect.isBack)
         m_nextPlanAt = std::min(m_nextPlanAt, now);
-    progress(context, now);
+    // The renewal of an unchanged set moves nothing forward; the next tick takes note of it.
+    if (effect.isChange)
+        progress(context, now);
 }
 
 void Placer::written(Context &context, const StoreWrittenEvent &event, TimePoint now)
