--- a/src/placement/slice_run.cpp
+++ b/src/placement/slice_run.cpp
@@ -20,13 +20,6 @@
     });
 }
 
-bool SliceRun::mayBeHeldBy(const TargetId &target, bool earlierLapsed, TimePoint now) const
-{
-    return std::ranges::any_of(holds, [&](const Hold &hold) {
-        return hold.target == target && isInForce(hold, earlierLapsed, now);
-    });
-}
-
 void SliceRun::extend(const TargetId &target, const std::string &startId, TimePoint until)
 {
     const auto found = std::ranges::find_if(holds, [&](const Hold &hold) {
--- a/src/placement/slice_run.hpp
+++ b/src/placement/slice_run.hpp
@@ -45,8 +45,6 @@
     /// \param now The current time.
     [[nodiscard]] bool isHeldByOthers(const TargetId &target, bool earlierLapsed,
                                       TimePoint now) const;
-    /// \brief Whether any grant of the target may be in force.
-    [[nodiscard]] bool mayBeHeldBy(const TargetId &target, bool earlierLapsed, TimePoint now) const;
     /// \brief Notes that a target was sent a grant.
     void extend(const TargetId &target, const std::string &startId, TimePoint until);
     /// \brief Notes that a target gave the slice back.
