--- a/src/load/caller_connection.cpp
+++ b/src/load/caller_connection.cpp
@@ -123,6 +123,7 @@
         read();
     else
         m_open = false;
+    m_answer.closing = !m_open;
     finishIfDone();
 }
 
--- a/src/load/caller_connection.hpp
+++ b/src/load/caller_connection.hpp
@@ -33,6 +33,7 @@
     std::string reason; ///< Header Yuccaspan-Reason.
     std::string refused; ///< Header Yuccaspan-Refused.
     std::string body; ///< Body.
+    bool closing = false; ///< Whether the server announced that it closes the connection.
 };
 
 /// \brief One connection. Used on its io_context's thread only.
--- a/src/load/connection_pool.cpp
+++ b/src/load/connection_pool.cpp
@@ -8,6 +8,9 @@
 
 /// An endpoint that refused a connection is passed over for this long, as a balancer would.
 constexpr std::chrono::milliseconds downTime{200};
+/// An endpoint that announced the end of a connection is passed over for this long, and its idle
+/// connections are dropped: it may be about to stop.
+constexpr std::chrono::milliseconds leavingTime{1000};
 
 } // namespace
 
@@ -50,7 +53,7 @@
         release(connection);
         return;
     }
-    m_downUntil = SystemClock().now() + downTime;
+    passOver(downTime);
     if (!m_busy.empty() || m_opening > 0)
         return;
     // Nothing here will free a connection for the waiting calls.
@@ -72,6 +75,10 @@
             std::erase_if(self->m_busy,
                           [&](const Busy &busy) { return busy.connection == connection; });
             self->m_hooks.answered(call, answer);
+            if (answer.closing) {
+                self->passOver(leavingTime);
+                self->closeAll();
+            }
             self->release(connection);
         });
 }
@@ -92,6 +99,11 @@
     use(connection, std::move(call));
 }
 
+void ConnectionPool::passOver(Duration duration)
+{
+    m_downUntil = SystemClock().now() + duration;
+}
+
 void ConnectionPool::expire(TimePoint dueBefore)
 {
     while (!m_waiting.empty() && m_waiting.front().scheduled < dueBefore) {
--- a/src/load/connection_pool.hpp
+++ b/src/load/connection_pool.hpp
@@ -69,6 +69,7 @@
     void onOpened(const ConnectionPtr &connection, bool opened);
     void use(const ConnectionPtr &connection, DueCall call);
     void release(const ConnectionPtr &connection);
+    void passOver(Duration duration);
 
     boost::asio::io_context &m_io;
     Endpoint m_endpoint;
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -70,6 +70,7 @@
     [[nodiscard]] Duration nextGap();
     [[nodiscard]] DueCall drawCall(TimePoint scheduled);
     void submit(DueCall call);
+    [[nodiscard]] ConnectionPool &nextPool();
     [[nodiscard]] CallRequest makeRequest(const DueCall &call) const;
     void finish(const DueCall &call, CallRecord record);
     void armExpiry();
@@ -205,12 +206,8 @@
 
 void Worker::submit(DueCall call)
 {
-    const TimePoint now = m_clock.now();
-    for (std::size_t step = 0; step < m_pools.size() && call.tries < m_pools.size(); ++step) {
-        const auto &pool = m_pools[m_nextPool++ % m_pools.size()];
-        if (!pool->available(now))
-            continue;
-        pool->submit(std::move(call));
+    if (call.tries < m_pools.size()) {
+        nextPool().submit(std::move(call));
         return;
     }
     CallRecord record;
@@ -218,6 +215,18 @@
     finish(call, std::move(record));
 }
 
+// The next endpoint in turn that may be tried, or just the next one if none may.
+ConnectionPool &Worker::nextPool()
+{
+    const TimePoint now = m_clock.now();
+    for (std::size_t step = 0; step < m_pools.size(); ++step) {
+        ConnectionPool &pool = *m_pools[m_nextPool++ % m_pools.size()];
+        if (pool.available(now))
+            return pool;
+    }
+    return *m_pools[m_nextPool++ % m_pools.size()];
+}
+
 CallRequest Worker::makeRequest(const DueCall &call) const
 {
     const RequestKind &kind = m_mix.kinds[call.kind];
