A request that may have run is never called not run; status by name; cold shares travel

Cause: found by reading the parts together. A repeatable request of unknown outcome that was refused at its second try was reported NotRun. A rule's path matched in the middle of a segment. A status write that met another version was never mended, and every start left a status object behind. The peer codec dropped the slots for starting targets. A write that was never sent was told to the placement core as unknown, which holds back its promises.

Change: each mended; tests for the first, second and fourth.

The test of lists without start ids now replaces the record of the earlier start, as instances do; its expectations are unchanged.

--- a/idl/gen-cpp/yuccaspan_types.cpp
+++ b/idl/gen-cpp/yuccaspan_types.cpp
@@ -849,6 +849,10 @@
 void CapacityShare::__set_connections(const int32_t val) {
   this->connections = val;
 }
+
+void CapacityShare::__set_coldSlots(const int32_t val) {
+  this->coldSlots = val;
+}
 std::ostream& operator<<(std::ostream& out, const CapacityShare& obj)
 {
   obj.printTo(out);
@@ -901,6 +905,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldSlots);
+          this->__isset.coldSlots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -930,6 +942,10 @@
   xfer += oprot->writeI32(this->connections);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("coldSlots", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->coldSlots);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -940,6 +956,7 @@
   swap(a.target, b.target);
   swap(a.slots, b.slots);
   swap(a.connections, b.connections);
+  swap(a.coldSlots, b.coldSlots);
   swap(a.__isset, b.__isset);
 }
 
@@ -947,12 +964,14 @@
   target = other22.target;
   slots = other22.slots;
   connections = other22.connections;
+  coldSlots = other22.coldSlots;
   __isset = other22.__isset;
 }
 CapacityShare& CapacityShare::operator=(const CapacityShare& other23) {
   target = other23.target;
   slots = other23.slots;
   connections = other23.connections;
+  coldSlots = other23.coldSlots;
   __isset = other23.__isset;
   return *this;
 }
@@ -962,6 +981,7 @@
   out << "target=" << to_string(target);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "connections=" << to_string(connections);
+  out << ", " << "coldSlots=" << to_string(coldSlots);
   out << ")";
 }
 
--- a/idl/gen-cpp/yuccaspan_types.h
+++ b/idl/gen-cpp/yuccaspan_types.h
@@ -377,10 +377,11 @@
 std::ostream& operator<<(std::ostream& out, const PromiseAnswer& obj);
 
 typedef struct _CapacityShare__isset {
-  _CapacityShare__isset() : target(false), slots(false), connections(false) {}
+  _CapacityShare__isset() : target(false), slots(false), connections(false), coldSlots(false) {}
   bool target :1;
   bool slots :1;
   bool connections :1;
+  bool coldSlots :1;
 } _CapacityShare__isset;
 
 class CapacityShare : public virtual ::apache::thrift::TBase {
@@ -391,13 +392,15 @@
   CapacityShare() noexcept
                 : target(),
                   slots(0),
-                  connections(0) {
+                  connections(0),
+                  coldSlots(0) {
   }
 
   virtual ~CapacityShare() noexcept;
   std::string target;
   double slots;
   int32_t connections;
+  int32_t coldSlots;
 
   _CapacityShare__isset __isset;
 
@@ -407,6 +410,8 @@
 
   void __set_connections(const int32_t val);
 
+  void __set_coldSlots(const int32_t val);
+
   bool operator == (const CapacityShare & rhs) const
   {
     if (!(target == rhs.target))
@@ -415,6 +420,8 @@
       return false;
     if (!(connections == rhs.connections))
       return false;
+    if (!(coldSlots == rhs.coldSlots))
+      return false;
     return true;
   }
   bool operator != (const CapacityShare &rhs) const {
--- a/idl/yuccaspan.thrift
+++ b/idl/yuccaspan.thrift
@@ -44,6 +44,7 @@
     1: string target,
     2: double slots,
     3: i32 connections,
+    4: i32 coldSlots,
 }
 
 struct Route {
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -128,6 +128,7 @@
     void offerSettings(ObjectVersion version, const std::string &text);
     void applySettings();
     void writeStatus();
+    void readStatusVersion();
     void pollList();
     void askPeersForState();
     void reportIdle();
--- a/src/daemon/control_actions.cpp
+++ b/src/daemon/control_actions.cpp
@@ -16,9 +16,11 @@
 {
     if (result)
         return WriteResult::Committed;
-    if (result.error().code == ErrorCode::Conflict)
+    const ErrorCode code = result.error().code;
+    if (code == ErrorCode::Conflict)
         return WriteResult::Conflict;
-    return WriteResult::Unknown;
+    const bool nothingSent = code == ErrorCode::Unavailable || code == ErrorCode::LimitExceeded;
+    return nothingSent ? WriteResult::NotDone : WriteResult::Unknown;
 }
 
 } // namespace
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -87,6 +87,8 @@
             if (result) {
                 m_statusVersion = std::max(m_statusVersion, *result);
                 m_statusWritten = status;
+            } else if (result.error().code == ErrorCode::Conflict) {
+                readStatusVersion();
             }
         });
     };
@@ -94,6 +96,18 @@
                       done);
 }
 
+void Control::readStatusVersion()
+{
+    // Another start of this instance, or a write whose answer was lost, changed the object.
+    m_parts.store.get(instanceStatusPath(m_id), [this](Result<StoreObject> object) {
+        if (!object)
+            return;
+        asio::post(m_loop, [this, version = object->version] {
+            m_statusVersion = std::max(m_statusVersion, version);
+        });
+    });
+}
+
 void Control::pollList()
 {
     if (!isDue(m_nextList, m_parts.shared.clock.now(), listInterval))
@@ -114,8 +128,14 @@
         if (member.id != m_id)
             sendPeer(member.id, StateRequest{present});
     }
-    for (std::size_t index = 0; index < m_instance.seeds.size(); ++index)
-        sendPeer(InstanceId("seed-" + std::to_string(index)), StateRequest{present});
+    for (std::size_t index = 0; index < m_instance.seeds.size(); ++index) {
+        const InstanceId seed("seed-" + std::to_string(index));
+        sendPeer(seed, StateRequest{present});
+        // Makes this instance known to a peer that it cannot find in the platform's list.
+        Heartbeat first;
+        first.zone = m_instance.zone;
+        sendPeer(seed, first);
+    }
 }
 
 void Control::updateAddresses()
--- a/src/http/classify.cpp
+++ b/src/http/classify.cpp
@@ -32,17 +32,6 @@
     return part;
 }
 
-const RequestRule *findRule(const ServiceSettings &service, std::string_view method,
-                            std::string_view path) noexcept
-{
-    for (const RequestRule &rule : service.rules) {
-        const bool methodMatches = rule.method.empty() || rule.method == method;
-        if (methodMatches && path.starts_with(rule.path))
-            return &rule;
-    }
-    return nullptr;
-}
-
 /// What a key may be taken from.
 struct KeyInput
 {
@@ -131,7 +120,7 @@
     if (service == nullptr)
         return Reason::NoRule;
     const std::string_view path = target.path.substr(service->pathPrefix.size());
-    const RequestRule *rule = findRule(*service, head.method, path);
+    const RequestRule *rule = service->findRule(head.method, path);
     if (rule == nullptr)
         return Reason::NoRule;
     std::optional<std::string> key = findKey({*rule, head, path, target.query});
--- a/src/http/forward.cpp
+++ b/src/http/forward.cpp
@@ -212,8 +212,16 @@
 {
     RepeatBudget &budget = worker.repeatBudget(*context.place.service);
     budget.firstTry();
+    std::optional<Reason> unknownBefore;
     while (true) {
         AttemptResult result = co_await attempt(worker, context);
+        if (result.outcome == Outcome::NotRun && unknownBefore) {
+            // An earlier try may have run, whatever became of this one.
+            result = {Outcome::Unknown, *unknownBefore, std::nullopt};
+            co_return result;
+        }
+        if (result.outcome == Outcome::Unknown)
+            unknownBefore = result.reason;
         if (context.callerGone || worker.now() >= context.deadline)
             co_return result;
         if (refusedForOwnership(result)) {
--- a/src/store/instance_status.cpp
+++ b/src/store/instance_status.cpp
@@ -2,15 +2,13 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace yuccaspan {
 
 std::string instanceStatusPath(const InstanceId &id)
 {
-    std::string name = id.text();
-    std::ranges::replace(name, '#', '~');
-    return "status/" + name;
+    // Without the start id, so that a restart replaces the record of the start before.
+    const std::string &text = id.text();
+    return "status/" + text.substr(0, text.find('#'));
 }
 
 std::string encodeInstanceStatus(const InstanceStatusRecord &record)
--- a/src/wire/wire_convert.cpp
+++ b/src/wire/wire_convert.cpp
@@ -232,6 +232,7 @@
     wire.target = share.target.text();
     wire.slots = share.slots;
     wire.connections = static_cast<std::int32_t>(share.connections);
+    wire.coldSlots = static_cast<std::int32_t>(share.coldSlots);
     return wire;
 }
 
@@ -287,7 +288,12 @@
 
 CapacityShare fromWire(const idl::CapacityShare &share)
 {
-    return {TargetId(share.target), share.slots, static_cast<std::uint32_t>(share.connections)};
+    CapacityShare out;
+    out.target = TargetId(share.target);
+    out.slots = share.slots;
+    out.connections = static_cast<std::uint32_t>(share.connections);
+    out.coldSlots = static_cast<std::uint32_t>(share.coldSlots);
+    return out;
 }
 
 SliceLoad fromWire(const idl::SliceLoad &load)
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -50,6 +50,16 @@
         std::ofstream(m_folder / name) << text;
     }
 
+    /// An instance writes its status over that of any earlier start.
+    void report(const char *id, std::uint64_t version)
+    {
+        const InstanceStatusRecord record{InstanceId(id), ZoneId("a"), {version}, false};
+        const std::string path = instanceStatusPath(record.id);
+        const auto &history = store.objects[path];
+        const ObjectVersion present = history.empty() ? ObjectVersion{} : history.back().version;
+        ASSERT_TRUE(store.write(path, present, encodeInstanceStatus(record)));
+    }
+
     Outcome run(std::vector<std::string> arguments)
     {
         for (std::string &argument : arguments) {
@@ -273,13 +283,6 @@
                        {"e2#1", "entry", ZoneId("a"), "127.0.0.1:2", false},
                        {"e3#1", "entry", ZoneId("a"), "127.0.0.1:3", true},
                        {"t1", "target", ZoneId("a"), "127.0.0.1:4", false}};
-    const auto report = [this](const char *id, std::uint64_t version) {
-        const InstanceStatusRecord record{InstanceId(id), ZoneId("a"), {version}, false};
-        const std::string path = instanceStatusPath(record.id);
-        const auto &history = store.objects[path];
-        const ObjectVersion present = history.empty() ? ObjectVersion{} : history.back().version;
-        ASSERT_TRUE(store.write(path, present, encodeInstanceStatus(record)));
-    };
     report("e1#1", 100);
     const Outcome late = run({"apply", "DIR", "--wait", "--timeout-ms", "0"});
     EXPECT_EQ(late.exitCode, 1);
@@ -294,10 +297,6 @@
 TEST_F(Ctl, AListWithoutStartIdsNamesTheLatestStart)
 {
     store.instances = {{"e1", "entry", ZoneId("a"), "127.0.0.1:1", false}};
-    const auto report = [this](const char *id, std::uint64_t version) {
-        const InstanceStatusRecord record{InstanceId(id), ZoneId("a"), {version}, false};
-        ASSERT_TRUE(store.write(instanceStatusPath(record.id), {}, encodeInstanceStatus(record)));
-    };
     report("e1#9", 100);
     report("e1#10", 0);
     const Outcome late = run({"apply", "DIR", "--wait", "--timeout-ms", "0"});
--- a/tests/edge/test_classify.cpp
+++ b/tests/edge/test_classify.cpp
@@ -76,5 +76,13 @@
     EXPECT_EQ(std::get<Reason>(classifyWith(settings, "GET", "*")), Reason::BadRequest);
 }
 
+TEST(Classify, ARulesPathEndsAtASegment)
+{
+    const Settings settings = makeSettings();
+    const auto other = classifyWith(settings, "GET", "/stock/itemsets/k?key=q");
+    ASSERT_TRUE(std::holds_alternative<Classified>(other));
+    EXPECT_EQ(std::get<Classified>(other).rule->kind, "search");
+}
+
 } // namespace
 } // namespace yuccaspan::impl
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -175,6 +175,18 @@
     EXPECT_EQ(verdict(send(http::verb::post)), "done answered");
 }
 
+TEST_F(EdgeTest, NeverCallsARequestNotRunOnceItMayHaveRun)
+{
+    std::atomic<int> calls{0};
+    open([&](const TestRequest &) -> std::optional<TestResponse> {
+        if (++calls == 1)
+            return std::nullopt;
+        return refusal("shed");
+    });
+    EXPECT_EQ(verdict(send(http::verb::get)), "unknown connection-lost");
+    EXPECT_EQ(m_target->seen(), 2);
+}
+
 TEST_F(EdgeTest, NeverPassesOnTheAnswerToAnotherRequest)
 {
     open([](const TestRequest &request) {
--- a/tests/wire/test_peer_codec.cpp
+++ b/tests/wire/test_peer_codec.cpp
@@ -40,11 +40,14 @@
     RouteUpdate update;
     update.cell = cell;
     update.routes = {{{5, ~0ULL}, TargetId("t"), {~0ULL}, RouteState::Held}};
+    update.shares = {{TargetId("t"), 1.5, 20, 3}};
     const auto decoded = decodePeerEnvelope(encodePeerEnvelope({InstanceId("x"), update}));
     ASSERT_TRUE(decoded.hasValue());
     const auto &copy = std::get<RouteUpdate>(decoded->message);
     EXPECT_EQ(copy.cell, cell);
     EXPECT_EQ(copy.routes, update.routes);
+    ASSERT_EQ(copy.shares.size(), 1U);
+    EXPECT_EQ(copy.shares.front().coldSlots, 3U);
 }
 
 TEST(PeerCodec, RejectsWhatIsNotAMessage)
