Instances probe targets they take for cold; a stop announces itself; records may not wrap

Two slices over the whole range passed as a record, since the hash after the last is 0.

Change: each instance probes the targets that it takes for cold once a second, and a warm answer opens the gate over time. A stop answers with Connection: close from its start. The order of slices is checked besides.

--- a/include/yuccaspan/admission.hpp
+++ b/include/yuccaspan/admission.hpp
@@ -103,6 +103,8 @@
     [[nodiscard]] virtual std::uint32_t waiting() const noexcept = 0;
     /// \brief Requests that may be at the target at once, at this moment.
     [[nodiscard]] virtual double allowance(TimePoint now) const noexcept = 0;
+    /// \brief Whether the target is taken to be starting, so that less than the share is used.
+    [[nodiscard]] virtual bool isCold() const noexcept = 0;
     /// \brief What is reported to the placer.
     [[nodiscard]] virtual TargetObservation observe(TimePoint now) = 0;
     /// @}
--- a/src/admission/target_gate.cpp
+++ b/src/admission/target_gate.cpp
@@ -45,6 +45,7 @@
     [[nodiscard]] std::uint32_t running() const noexcept override;
     [[nodiscard]] std::uint32_t waiting() const noexcept override;
     [[nodiscard]] double allowance(TimePoint now) const noexcept override;
+    [[nodiscard]] bool isCold() const noexcept override { return m_cold.isCold(); }
     [[nodiscard]] TargetObservation observe(TimePoint now) override;
 
 private:
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -92,6 +92,17 @@
     });
 }
 
+void Control::receiveAnswer(TargetAnswerEvent event)
+{
+    const TargetAnswer &answer = event.answer;
+    const std::shared_ptr<const TargetMap> targets = m_parts.shared.targets.map().get();
+    const auto target = targets->find(event.target);
+    if (target != targets->end() && answer.verdict != TargetVerdict::NoAnswer)
+        target->second->sawProbe(answer.startId, answer.state, m_parts.shared.clock.now());
+    if (answer.orderId != probeOrderId)
+        post(std::move(event));
+}
+
 void Control::receivePeer(const std::string &bytes)
 {
     Result<PeerEnvelope> envelope = decodePeerEnvelope(bytes);
@@ -133,6 +144,7 @@
     reportIdle();
     pollList();
     reportLoad();
+    probeColdTargets();
     askPeersForState();
     publishView();
 }
--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -77,6 +77,8 @@
     void leave();
     /// \brief Passes an event to the placement core.
     void post(PlacementEvent event);
+    /// \brief Takes a target's answer to an order or probe.
+    void receiveAnswer(TargetAnswerEvent event);
     /// \brief Takes one frame from another instance.
     void receivePeer(const std::string &bytes);
     /// \brief The latest view.
@@ -97,6 +99,9 @@
     Control(const InstanceSettings &settings, InstanceId id, const PlacementTiming &timing,
             ControlParts parts, std::unique_ptr<PlacementNode> node, Membership membership);
 
+    /// Order id of this instance's own probes; the placement core uses none that low.
+    static constexpr std::uint64_t probeOrderId = 0;
+
     /// \name Events
     /// @{
     void armTick();
@@ -133,6 +138,7 @@
     void askPeersForState();
     void reportIdle();
     void reportLoad();
+    void probeColdTargets();
     void publishView();
     void updateAddresses();
     void sendPeer(const InstanceId &to, const PeerMessage &message);
@@ -153,6 +159,7 @@
     TimePoint m_nextList;
     TimePoint m_nextLoad;
     TimePoint m_nextView;
+    TimePoint m_nextProbe;
     TimePoint m_nextStateRequest;
     std::shared_ptr<const Settings> m_settings;
     std::string m_settingsText;
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -15,6 +15,7 @@
 
 constexpr Duration listInterval = std::chrono::seconds(1);
 constexpr Duration loadInterval = std::chrono::milliseconds(500);
+constexpr Duration probeInterval = std::chrono::seconds(1);
 constexpr Duration viewInterval = std::chrono::milliseconds(100);
 constexpr Duration stateRequestInterval = std::chrono::seconds(1);
 
@@ -169,6 +170,20 @@
     handle(event);
 }
 
+void Control::probeColdTargets()
+{
+    if (!isDue(m_nextProbe, m_parts.shared.clock.now(), probeInterval))
+        return;
+    const std::shared_ptr<const TargetMap> targets = m_parts.shared.targets.map().get();
+    for (const auto &[id, target] : *targets) {
+        const bool isCold = target->withGate([](const TargetGate &gate) { return gate.isCold(); });
+        if (!isCold)
+            continue;
+        const CellId cell{target->service(), target->settings().zone, 0};
+        m_parts.orders.send({probeOrderId, id, ProbeOrder{cell}});
+    }
+}
+
 std::vector<TargetObservation> Control::observeTargets(const CellId &cell)
 {
     std::vector<TargetObservation> observations;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -112,7 +112,7 @@
         return peers.error();
     m_peers = std::move(*peers);
     m_orders = makeOrderSender(timing.orderTimeout, [this](TargetAnswerEvent event) {
-        m_control->post(std::move(event));
+        m_control->receiveAnswer(std::move(event));
     });
     const ControlParts parts{*m_shared, *m_edge, *m_store, *m_peers, *m_orders};
     auto control = Control::create(m_settings, m_id, timing, parts);
@@ -136,9 +136,10 @@
     const TimePoint limit = m_clock.now() + m_settings.stopLimit;
     m_leaving = true;
     m_log->write("lifecycle", "Stopping: not ready any more, waiting for the balancer.");
+    // Callers are told with each answer that their connection ends, while new ones still arrive.
+    m_shared->closing = true;
     m_control->leave();
     std::this_thread::sleep_for(m_settings.balancerWait);
-    m_shared->closing = true;
     m_edge->stopAccepting();
     m_log->write("lifecycle", "Finishing the requests under way.");
     const bool idle = waitUntilIdle(limit);
--- a/src/http/target_hub.cpp
+++ b/src/http/target_hub.cpp
@@ -32,6 +32,18 @@
     m_gate->sawTarget(startId, state, now);
 }
 
+void SharedTarget::sawProbe(const std::string &startId, TargetState state, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool unchanged = startId == m_startId && state == m_state;
+    const bool isGoodSign = state == TargetState::Warm && m_gate->isCold();
+    if (unchanged && !isGoodSign)
+        return;
+    m_startId = startId;
+    m_state = state;
+    m_gate->sawTarget(startId, state, now);
+}
+
 std::pair<std::string, TargetState> SharedTarget::lastSeen() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/http/target_hub.hpp
+++ b/src/http/target_hub.hpp
@@ -56,6 +56,9 @@
     /// @{
     /// \brief Records a start id seen in an answer.
     void sawStart(const std::string &startId, TargetState state, TimePoint now);
+    /// \brief Records the answer to an order or probe; one of a warm target lets its gate open
+    /// further even where no request of this instance can show that the target is well.
+    void sawProbe(const std::string &startId, TargetState state, TimePoint now);
     /// \brief The start id and state seen last.
     [[nodiscard]] std::pair<std::string, TargetState> lastSeen() const;
     /// @}
--- a/src/placement/record_codec.cpp
+++ b/src/placement/record_codec.cpp
@@ -111,7 +111,11 @@
         const KeyRange &range = record.slices[i].range;
         if (range.first > range.last)
             return false;
-        if (i > 0 && record.slices[i - 1].range.last + 1 != range.first)
+        if (i == 0)
+            continue;
+        // The hash after the last one is 0 again, so the order is checked besides.
+        const KeyHash before = record.slices[i - 1].range.last;
+        if (before >= range.first || before + 1 != range.first)
             return false;
     }
     return true;
--- /dev/null
+++ b/tests/edge/test_target_hub.cpp
@@ -0,0 +1,55 @@
+#include "http/target_hub.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccaspan::impl {
+namespace {
+
+TargetSettings makeTarget()
+{
+    TargetSettings target;
+    target.id = TargetId("t");
+    target.slots = 6;
+    return target;
+}
+
+TEST(SharedTarget, OpensAgainByProbesWhereNoRequestOfThisInstanceMayTry)
+{
+    const TargetSettings settings = makeTarget();
+    SharedTarget target(settings, ServiceSettings(), 3);
+    TimePoint now{std::chrono::seconds(10)};
+    target.sawStart("first", TargetState::Warm, now);
+    target.sawStart("second", TargetState::Cold, now);
+    const auto allowance = [&] {
+        // The placer let another instance try the starting target.
+        return target.withGate([&](TargetGate &gate) {
+            gate.setShare({settings.id, 2, 20, 0}, now + std::chrono::seconds(1));
+            return gate.allowance(now);
+        });
+    };
+    EXPECT_EQ(allowance(), 0);
+    constexpr int probes = 30;
+    for (int probe = 0; probe < probes; ++probe) {
+        now += std::chrono::seconds(1);
+        target.sawProbe("second", TargetState::Warm, now);
+    }
+    EXPECT_EQ(allowance(), 2);
+    EXPECT_FALSE(target.withGate([](const TargetGate &gate) { return gate.isCold(); }));
+}
+
+TEST(SharedTarget, StaysShutWhileTheTargetCallsItselfCold)
+{
+    const TargetSettings settings = makeTarget();
+    SharedTarget target(settings, ServiceSettings(), 3);
+    TimePoint now{std::chrono::seconds(10)};
+    target.sawStart("first", TargetState::Cold, now);
+    constexpr int probes = 30;
+    for (int probe = 0; probe < probes; ++probe) {
+        now += std::chrono::seconds(1);
+        target.sawProbe("first", TargetState::Cold, now);
+    }
+    EXPECT_TRUE(target.withGate([](const TargetGate &gate) { return gate.isCold(); }));
+}
+
+} // namespace
+} // namespace yuccaspan::impl
