One placer divides a target's slots; answers that only extend authority wait for the tick

Cause: slices lent to other zones made several placers divide the slots of one target, and an instance kept whichever share came last, so the shares could sum to more than the target bears. Every promise and route acknowledgement made the placer go over all its slices, as renewals had done.

Change: the placer of a zone's first cell divides the slots of the zone's targets, whoever owns slices there; instances report all targets of a zone to it. Acknowledgements and promises step the placer only when they change something.

--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -189,11 +189,20 @@
     std::vector<TargetObservation> observations;
     const TimePoint now = m_parts.shared.clock.now();
     const std::shared_ptr<const TargetMap> targets = m_parts.shared.targets.map().get();
-    std::set<TargetId> owners;
+    std::set<TargetId> observed;
     for (const Route &route : m_cellRoutes[cell]->routes)
-        owners.insert(route.owner);
-    for (const TargetId &owner : owners) {
-        const auto target = targets->find(owner);
+        observed.insert(route.owner);
+    // The placer of a zone's first cell divides the slots of all targets of the zone.
+    const ServiceSettings *service =
+        m_settings == nullptr ? nullptr : m_settings->findService(cell.service);
+    if (service != nullptr && cell.index == 0) {
+        for (const TargetSettings &target : service->targets) {
+            if (target.zone == cell.zone)
+                observed.insert(target.id);
+        }
+    }
+    for (const TargetId &id : observed) {
+        const auto target = targets->find(id);
         if (target == targets->end())
             continue;
         observations.push_back(
--- a/src/ownership/route_publisher.cpp
+++ b/src/ownership/route_publisher.cpp
@@ -41,16 +41,20 @@
         found->second.shares = std::move(shares);
 }
 
-void RoutePublisher::acknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now)
+bool RoutePublisher::acknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now)
 {
     const auto found = m_entries.find(entry);
     if (found == m_entries.end() || ack.term != m_term || ack.ackSequence <= found->second.echo)
-        return;
+        return false;
     Entry &state = found->second;
     state.echo = ack.ackSequence;
     state.echoAt = now;
-    state.acked = std::min(ack.sequence, m_sequence);
+    const std::uint64_t acked = std::min(ack.sequence, m_sequence);
+    const bool isFirst = state.leaseBound == TimePoint();
+    const bool changed = isFirst || acked != state.acked || ack.idle != state.idle;
+    state.acked = acked;
     state.idle = ack.idle;
+    return changed;
 }
 
 void RoutePublisher::step(Context &context, TimePoint authorityUntil, TimePoint now)
--- a/src/ownership/route_publisher.hpp
+++ b/src/ownership/route_publisher.hpp
@@ -25,7 +25,8 @@
     /// \brief Sets the shares that are sent to an instance.
     void setShares(const InstanceId &entry, std::vector<CapacityShare> shares);
     /// \brief An entry instance confirmed an update.
-    void acknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now);
+    /// \returns Whether the instance has newer routes in force, or other slices idle, than before.
+    bool acknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now);
     /// \brief Sends the updates that are due.
     /// \param context Receives the actions; its live members are the receivers.
     /// \param authorityUntil No view lease lasts longer.
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -141,9 +141,12 @@
     if (!answer.granted || answer.term != m_record.term || sent == m_promiseSentAt.end())
         return;
     m_authority.promised(from, sent->second);
-    if (!m_earlierTerms.wasOver())
+    const bool waitsForEarlierTerms = !m_earlierTerms.wasOver();
+    if (waitsForEarlierTerms)
         m_earlierTerms.refused(from, now);
-    progress(context, now);
+    // While authority lasts, a further promise only extends it, which the next tick makes use of.
+    if (waitsForEarlierTerms || !m_hadAuthority)
+        progress(context, now);
 }
 
 void Placer::acknowledged(Context &context, const InstanceId &from, const RouteAck &ack,
@@ -151,8 +154,8 @@
 {
     if (isRetired())
         return;
-    m_publisher.acknowledged(from, ack, now);
-    progress(context, now);
+    if (m_publisher.acknowledged(from, ack, now))
+        progress(context, now);
 }
 
 void Placer::targetAnswered(Context &context, const TargetAnswerEvent &event, TimePoint now)
--- a/src/placement/placer_plan.cpp
+++ b/src/placement/placer_plan.cpp
@@ -191,22 +191,20 @@
 
 void Placer::shareCapacities(Context &context, TimePoint now)
 {
-    if (!context.policy.shareCapacity)
+    // A target's slots are divided by one placer only, that of the first cell of the target's zone,
+    // whichever cells own slices there. Without a share an instance keeps to its floor.
+    if (!context.policy.shareCapacity || m_record.cell.index != 0)
         return;
     std::map<InstanceId, std::vector<CapacityShare>> shares;
-    std::set<TargetId> owners;
-    for (const SliceRun &run : m_runs)
-        owners.insert(run.move ? run.move->to : run.record.owner);
-    for (const TargetId &owner : owners) {
-        const TargetSettings *target = context.findTarget(m_record.cell.service, owner);
-        if (target == nullptr)
+    for (const TargetSettings &target : context.findService(m_record.cell.service)->targets) {
+        if (target.zone != m_record.cell.zone)
             continue;
-        std::map<InstanceId, double> demand = m_loads.demand(owner, now);
+        std::map<InstanceId, double> demand = m_loads.demand(target.id, now);
         for (const Member &member : context.members) {
             if (member.alive)
                 demand.try_emplace(member.id, 0.0);
         }
-        for (const auto &[entry, share] : context.policy.shareCapacity(*target, demand))
+        for (const auto &[entry, share] : context.policy.shareCapacity(target, demand))
             shares[entry].push_back(share);
     }
     for (auto &[entry, list] : shares)
