--- a/src/daemon/control.hpp
+++ b/src/daemon/control.hpp
@@ -168,7 +168,7 @@
     std::map<std::string, InstanceStatusRecord> m_statuses;
     std::vector<Member> m_members;
     std::vector<IdleWatch> m_idleWatches;
-    std::map<CellId, std::shared_ptr<const CellRoutes>> m_cellRoutes;
+    CellRoutesMap m_cellRoutes;
     ObjectVersion m_statusVersion;
     InstanceStatusRecord m_statusWritten;
     bool m_statusWriteRunning = false;
--- a/src/daemon/control_state.cpp
+++ b/src/daemon/control_state.cpp
@@ -159,7 +159,7 @@
     if (!isDue(m_nextLoad, now, loadInterval))
         return;
     LocalLoadEvent event;
-    event.reports = makeLoadReports(m_parts.edge.takeLoad(), loadInterval, ++m_loadSequence);
+    event.reports = m_parts.edge.reportLoad(m_cellRoutes, ++m_loadSequence, now);
     for (const auto &[cell, routes] : m_cellRoutes) {
         const auto known = std::ranges::find(event.reports, cell, &LoadReport::cell);
         if (known == event.reports.end())
--- a/src/http/edge.cpp
+++ b/src/http/edge.cpp
@@ -56,12 +56,13 @@
             worker->stopAccepting();
     }
 
-    std::vector<LoadCounts> takeLoad() override
+    std::vector<LoadReport> reportLoad(const CellRoutesMap &routes, std::uint64_t sequence,
+                                       TimePoint now) override
     {
-        std::vector<LoadCounts> counts;
+        std::vector<CellLoads> parts;
         for (const auto &worker : m_workers)
-            counts.push_back(worker->takeLoad());
-        return counts;
+            parts.push_back(worker->load().report(routes, now));
+        return sumLoads(parts, sequence);
     }
 
 private:
--- a/src/http/edge.hpp
+++ b/src/http/edge.hpp
@@ -10,9 +10,9 @@
 
 #include "http/edge_metrics.hpp"
 #include "http/in_flight.hpp"
-#include "http/load_meter.hpp"
 #include "http/snapshot.hpp"
 #include "http/target_hub.hpp"
+#include "http/worker_load.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -70,8 +70,12 @@
     virtual void routesChanged() = 0;
     /// \brief Stops accepting connections; the requests under way go on.
     virtual void stopAccepting() = 0;
-    /// \brief Takes the load counts of all workers.
-    [[nodiscard]] virtual std::vector<LoadCounts> takeLoad() = 0;
+    /// \brief The load that all workers measured, as one report for each cell.
+    /// \param routes Routes by cell, which say what the slices are.
+    /// \param sequence Sequence of the reports.
+    /// \param now The current time.
+    [[nodiscard]] virtual std::vector<LoadReport>
+    reportLoad(const CellRoutesMap &routes, std::uint64_t sequence, TimePoint now) = 0;
 };
 
 /// \brief Starts the data path.
--- a/src/http/edge_worker.hpp
+++ b/src/http/edge_worker.hpp
@@ -67,8 +67,6 @@
     /// \param reason With Refused: why.
     void released(const std::shared_ptr<SharedTarget> &target, std::uint64_t id, GateWait result,
                   Reason reason);
-    /// \brief Takes the load counts.
-    [[nodiscard]] LoadCounts takeLoad() { return m_load.take(); }
     /// @}
 
     /// \name Used by the requests on this worker
@@ -82,7 +80,8 @@
     [[nodiscard]] std::shared_ptr<SharedTarget> findTarget(const TargetId &id);
     [[nodiscard]] TargetPool &pool(const std::shared_ptr<SharedTarget> &target);
     [[nodiscard]] RepeatBudget &repeatBudget(const ServiceSettings &service);
-    [[nodiscard]] LoadMeter &load() noexcept { return m_load; }
+    /// \brief Load that this worker measured. Safe to use from any thread.
+    [[nodiscard]] WorkerLoad &load() noexcept { return m_load; }
     /// \brief An id that is unique at this instance and names the worker.
     [[nodiscard]] std::uint64_t nextId() noexcept;
     /// \brief Waits until the gate decides, the deadline passes or the caller goes away.
@@ -117,7 +116,7 @@
     std::unordered_map<ServiceName, RepeatBudget> m_repeatBudgets;
     std::unordered_map<std::uint64_t, std::unique_ptr<GateWaiter>> m_gateWaiters;
     std::unordered_set<boost::asio::steady_timer *> m_routeWaiters;
-    LoadMeter m_load;
+    WorkerLoad m_load;
     std::uint64_t m_nextId = 0;
     std::thread m_thread;
 };
--- a/src/http/forward.cpp
+++ b/src/http/forward.cpp
@@ -22,6 +22,7 @@
 struct RouteChoice
 {
     CellId cell;
+    KeyRange cellRange;
     Route route;
     TimePoint viewLeaseEnd;
 };
@@ -47,8 +48,9 @@
     const bool leaseRequired = !target->settings().checksGrants;
     if (leaseRequired && match.cell->viewLeaseEnd <= worker.now())
         return {std::nullopt, Reason::NoViewLease};
-    return {RouteChoice{match.cell->cell, *match.route, match.cell->viewLeaseEnd},
-            Reason::Answered};
+    return {
+        RouteChoice{match.cell->cell, match.cell->range, *match.route, match.cell->viewLeaseEnd},
+        Reason::Answered};
 }
 
 /// Ends the count of a request in flight when it leaves its scope.
@@ -164,7 +166,8 @@
     if (refusalOf(result) == refusedCold)
         target->sawStart(target->lastSeen().first, TargetState::Cold, worker.now());
     worker.finish(target, context.ticket, kind, latency);
-    worker.load().add(choice.cell, choice.route.range, context.place.hash, latency);
+    worker.load().heldSlot(choice.cell, choice.cellRange, context.place.hash, latency,
+                           worker.now());
     co_return result;
 }
 
@@ -182,6 +185,8 @@
         const auto target = worker.findTarget(found.choice->route.owner);
         if (target == nullptr)
             continue;
+        worker.load().arrived(found.choice->cell, found.choice->cellRange, context.place.hash,
+                              worker.now());
         std::optional<AttemptResult> refused = co_await admit(worker, context, target);
         if (refused)
             co_return std::move(*refused);
