--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -84,7 +84,7 @@
     }
 }
 
-int run(int argc, char **argv)
+cxxopts::Options makeOptions()
 {
     cxxopts::Options options("bench_policy",
                              "Measures the library's decisions beside static hashing with fixed "
@@ -103,6 +103,12 @@
         cxxopts::value<std::string>()->default_value(""))(
         "jobs", "runs at once", cxxopts::value<unsigned>()->default_value("3"))(
         "list", "list the scenarios")("help", "show this text");
+    return options;
+}
+
+int run(int argc, char **argv)
+{
+    cxxopts::Options options = makeOptions();
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0) {
         std::cout << options.help();
