One function writes a hash as text; one constant places workers in ids

Cause: the last read of the change found the 16-digit form of a hash written six times, one of them with a stream on the data path for each request; the shift that puts a worker's index into an id stood in two files, which had to agree; two functions of SharedTarget shared their end; EdgeWorker declared a function that nothing defined.

Change: keyHashText in key_range.hpp is used by all; EdgeWorker::workerOf reads what nextId writes; SharedTarget::tellGate holds the shared end.

The end-to-end suite and the demo were not run again after this commit.

Conclusion: behaviour as before.

--- a/include/yuccaspan/key_range.hpp
+++ b/include/yuccaspan/key_range.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <limits>
 #include <ostream>
+#include <string>
 #include <string_view>
 
 namespace yuccaspan {
@@ -17,6 +18,9 @@
 /// \param key The key's bytes.
 [[nodiscard]] KeyHash hashKey(std::string_view key) noexcept;
 
+/// \brief Writes a hash as 16 hexadecimal digits.
+[[nodiscard]] std::string keyHashText(KeyHash hash);
+
 /// \brief An inclusive range of key hashes.
 struct KeyRange
 {
--- a/src/admin/admin_json.cpp
+++ b/src/admin/admin_json.cpp
@@ -19,7 +19,7 @@
 
 Json rangeJson(const KeyRange &range)
 {
-    return {{"first", hashText(range.first)}, {"last", hashText(range.last)}};
+    return {{"first", keyHashText(range.first)}, {"last", keyHashText(range.last)}};
 }
 
 Json cellNameJson(const CellId &cell)
@@ -104,13 +104,6 @@
 
 } // namespace
 
-std::string hashText(KeyHash hash)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(hash));
-    return text.data();
-}
-
 Json statusJson(const InstanceReport &report)
 {
     Json json{{"instance", report.id.text()},
@@ -183,8 +176,9 @@
 Json explainJson(const Settings &settings, const ServiceName &service, const std::string &key,
                  const Explanation &explanation)
 {
-    Json json{{"service", service.text()}, {"key", key},       {"hash", hashText(explanation.hash)},
-              {"cell", nullptr},           {"slice", nullptr}, {"reasons", explanation.reasons}};
+    Json json{
+        {"service", service.text()}, {"key", key},       {"hash", keyHashText(explanation.hash)},
+        {"cell", nullptr},           {"slice", nullptr}, {"reasons", explanation.reasons}};
     if (const ServiceSettings *found = settings.findService(service))
         json["rules"] = settingsToJson(settings)["services"][found->name.text()]["rules"];
     if (explanation.cell.service.empty())
--- a/src/admin/admin_json.hpp
+++ b/src/admin/admin_json.hpp
@@ -28,7 +28,4 @@
 /// \returns The order, ParseFailed or SchemaViolation.
 [[nodiscard]] Result<MoveOrder> readMoveOrder(const std::string &body);
 
-/// \brief A hash as 16 hexadecimal digits.
-[[nodiscard]] std::string hashText(KeyHash hash);
-
 } // namespace yuccaspan::impl
--- a/src/admin/admin_routes.cpp
+++ b/src/admin/admin_routes.cpp
@@ -109,7 +109,7 @@
     const Status accepted = source.requestMove(*order);
     if (!accepted)
         return errorAnswer(accepted.error());
-    return jsonAnswer({{"accepted", true}, {"hash", hashText(order->hash)}}, 202);
+    return jsonAnswer({{"accepted", true}, {"hash", keyHashText(order->hash)}}, 202);
 }
 
 AdminAnswer serveMetrics(AdminSource &source, const AdminRequest & /*request*/)
--- a/src/daemon/order_codec.cpp
+++ b/src/daemon/order_codec.cpp
@@ -3,8 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <iomanip>
-#include <sstream>
 #include <utility>
 
 namespace yuccaspan::impl {
@@ -15,14 +13,6 @@
 
 constexpr int hexBase = 16;
 
-std::string hex(KeyHash hash)
-{
-    constexpr int hexDigits = 16;
-    std::ostringstream stream;
-    stream << std::hex << std::setw(hexDigits) << std::setfill('0') << hash;
-    return stream.str();
-}
-
 KeyHash parseHex(const std::string &text)
 {
     KeyHash hash = 0;
@@ -37,8 +27,8 @@
 
 Json sliceJson(const GrantedSlice &slice)
 {
-    return {{"first", hex(slice.range.first)},
-            {"last", hex(slice.range.last)},
+    return {{"first", keyHashText(slice.range.first)},
+            {"last", keyHashText(slice.range.last)},
             {"token", slice.token.value}};
 }
 
@@ -63,8 +53,8 @@
     body["term"] = order.term.value;
     body["sequence"] = order.sequence;
     body["startId"] = order.startId;
-    body["first"] = hex(order.range.first);
-    body["last"] = hex(order.range.last);
+    body["first"] = keyHashText(order.range.first);
+    body["last"] = keyHashText(order.range.last);
     body["token"] = order.token.value;
     return {"/_yuccaspan/revoke", body.dump()};
 }
--- a/src/http/edge.cpp
+++ b/src/http/edge.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr unsigned workerShift = 48;
-
 class EdgeImpl final : public Edge
 {
 public:
@@ -66,7 +64,7 @@
     }
 
 private:
-    EdgeWorker &workerOf(std::uint64_t id) { return *m_workers[id >> workerShift]; }
+    EdgeWorker &workerOf(std::uint64_t id) { return *m_workers[EdgeWorker::workerOf(id)]; }
 
     void pass(const std::shared_ptr<SharedTarget> &target, const GateRelease &release)
     {
--- a/src/http/edge_worker.cpp
+++ b/src/http/edge_worker.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr Duration gateTickInterval = std::chrono::milliseconds(10);
-constexpr unsigned workerShift = 48;
 constexpr std::size_t maxRouteWaiters = 8192;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
--- a/src/http/edge_worker.hpp
+++ b/src/http/edge_worker.hpp
@@ -82,6 +82,11 @@
     [[nodiscard]] RepeatBudget &repeatBudget(const ServiceSettings &service);
     /// \brief Load that this worker measured. Safe to use from any thread.
     [[nodiscard]] WorkerLoad &load() noexcept { return m_load; }
+    /// \brief Index of the worker that an id from nextId() names.
+    [[nodiscard]] static constexpr std::size_t workerOf(std::uint64_t id) noexcept
+    {
+        return id >> workerShift;
+    }
     /// \brief An id that is unique at this instance and names the worker.
     [[nodiscard]] std::uint64_t nextId() noexcept;
     /// \brief Waits until the gate decides, the deadline passes or the caller goes away.
@@ -98,7 +103,8 @@
     /// @}
 
 private:
-    void run();
+    static constexpr unsigned workerShift = 48;
+
     void armGateTick();
     [[nodiscard]] boost::asio::awaitable<void> acceptLoop();
 
--- a/src/http/forward.cpp
+++ b/src/http/forward.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -70,23 +69,12 @@
     const Classified &m_place;
 };
 
-std::string hex(KeyHash hash)
-{
-    std::ostringstream stream;
-    constexpr int hexDigits = 16;
-    stream << std::hex;
-    stream.width(hexDigits);
-    stream.fill('0');
-    stream << hash;
-    return stream.str();
-}
-
 void setTargetHeaders(RequestContext &context, const RouteChoice &choice, TimePoint now)
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(context.deadline - now);
     context.request.set(header::requestId, context.requestId);
     context.request.set(header::service, context.place.service->name.text());
-    context.request.set(header::keyHash, hex(context.place.hash));
+    context.request.set(header::keyHash, keyHashText(context.place.hash));
     context.request.set(header::token, std::to_string(choice.route.token.value));
     context.request.set(header::deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
 }
--- a/src/http/target_hub.cpp
+++ b/src/http/target_hub.cpp
@@ -25,20 +25,21 @@
 void SharedTarget::sawStart(const std::string &startId, TargetState state, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    if (startId == m_startId && state == m_state)
-        return;
-    m_startId = startId;
-    m_state = state;
-    m_gate->sawTarget(startId, state, now);
+    if (startId != m_startId || state != m_state)
+        tellGate(startId, state, now);
 }
 
 void SharedTarget::sawProbe(const std::string &startId, TargetState state, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    const bool unchanged = startId == m_startId && state == m_state;
+    const bool isNews = startId != m_startId || state != m_state;
     const bool isGoodSign = state == TargetState::Warm && m_gate->isCold();
-    if (unchanged && !isGoodSign)
-        return;
+    if (isNews || isGoodSign)
+        tellGate(startId, state, now);
+}
+
+void SharedTarget::tellGate(const std::string &startId, TargetState state, TimePoint now)
+{
     m_startId = startId;
     m_state = state;
     m_gate->sawTarget(startId, state, now);
--- a/src/http/target_hub.hpp
+++ b/src/http/target_hub.hpp
@@ -64,6 +64,9 @@
     /// @}
 
 private:
+    /// Call with the mutex held.
+    void tellGate(const std::string &startId, TargetState state, TimePoint now);
+
     TargetSettings m_settings;
     ServiceName m_service;
     mutable std::mutex m_mutex;
--- a/src/key_range.cpp
+++ b/src/key_range.cpp
@@ -1,7 +1,7 @@
 #include "yuccaspan/key_range.hpp"
 
-#include <iomanip>
-#include <ios>
+#include <charconv>
+#include <ostream>
 
 #include <xxhash.h>
 
@@ -12,16 +12,21 @@
     return XXH3_64bits(key.data(), key.size());
 }
 
+std::string keyHashText(KeyHash hash)
+{
+    constexpr std::size_t hexDigits = 16;
+    constexpr int hexBase = 16;
+    char digits[hexDigits];
+    const char *end = std::to_chars(digits, digits + hexDigits, hash, hexBase).ptr;
+    const auto length = static_cast<std::size_t>(end - digits);
+    std::string text(hexDigits - length, '0');
+    text.append(digits, length);
+    return text;
+}
+
 std::ostream &operator<<(std::ostream &stream, const KeyRange &range)
 {
-    constexpr int hexDigits = 16;
-    const auto flags = stream.flags();
-    const auto fill = stream.fill('0');
-    stream << std::hex << std::setw(hexDigits) << range.first << '-' << std::setw(hexDigits)
-           << range.last;
-    stream.flags(flags);
-    stream.fill(fill);
-    return stream;
+    return stream << keyHashText(range.first) << '-' << keyHashText(range.last);
 }
 
 } // namespace yuccaspan
--- a/src/placement/directory.cpp
+++ b/src/placement/directory.cpp
@@ -97,8 +97,8 @@
                         {"cells", nlohmann::json::array()}};
     for (const DirectoryEntry &entry : directory.cells) {
         nlohmann::json cell = cellIdToJson(entry.cell);
-        cell["first"] = hexText(entry.range.first);
-        cell["last"] = hexText(entry.range.last);
+        cell["first"] = keyHashText(entry.range.first);
+        cell["last"] = keyHashText(entry.range.last);
         json["cells"].push_back(std::move(cell));
     }
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/placement/record_codec.cpp
+++ b/src/placement/record_codec.cpp
@@ -22,8 +22,8 @@
 
 Json sliceToJson(const SliceRecord &slice)
 {
-    Json json{{"first", hexText(slice.range.first)},
-              {"last", hexText(slice.range.last)},
+    Json json{{"first", keyHashText(slice.range.first)},
+              {"last", keyHashText(slice.range.last)},
               {"owner", slice.owner.text()},
               {"token", slice.token.value}};
     if (slice.phase == SlicePhase::Moving) {
@@ -127,8 +127,8 @@
 {
     impl::Json json = impl::cellIdToJson(record.cell);
     json["schema"] = impl::recordSchema;
-    json["first"] = impl::hexText(record.range.first);
-    json["last"] = impl::hexText(record.range.last);
+    json["first"] = keyHashText(record.range.first);
+    json["last"] = keyHashText(record.range.last);
     json["term"] = record.term.value;
     json["placer"] = record.placer.text();
     json["lastToken"] = record.lastToken.value;
--- a/src/placement/record_json.cpp
+++ b/src/placement/record_json.cpp
@@ -11,16 +11,6 @@
 constexpr std::size_t hexDigits = 16;
 } // namespace
 
-std::string hexText(KeyHash hash)
-{
-    std::string text(hexDigits, '0');
-    char digits[hexDigits];
-    const auto end = std::to_chars(digits, digits + hexDigits, hash, hexBase).ptr;
-    const auto length = static_cast<std::size_t>(end - digits);
-    text.replace(hexDigits - length, length, digits, length);
-    return text;
-}
-
 bool readText(const nlohmann::json &json, const char *name, std::string &text)
 {
     const auto found = json.find(name);
--- a/src/placement/record_json.hpp
+++ b/src/placement/record_json.hpp
@@ -9,9 +9,6 @@
 
 namespace yuccaspan::impl {
 
-/// \brief A hash as 16 hexadecimal digits.
-[[nodiscard]] std::string hexText(KeyHash hash);
-
 /// \name Readers
 /// Each returns false, and leaves the result unspecified, if the field is missing or of another
 /// kind.
--- a/standins/json_fields.hpp
+++ b/standins/json_fields.hpp
@@ -44,19 +44,6 @@
     return matches;
 }
 
-/// \brief A hash as 16 hexadecimal digits.
-[[nodiscard]] inline std::string hashText(KeyHash hash)
-{
-    constexpr const char *digits = "0123456789abcdef";
-    constexpr int hexDigits = 16;
-    std::string text(hexDigits, '0');
-    for (int index = hexDigits - 1; index >= 0; --index) {
-        text[static_cast<std::size_t>(index)] = digits[hash & 0xFU];
-        hash >>= 4U;
-    }
-    return text;
-}
-
 /// \brief Reads hexadecimal digits; nothing if there are others.
 [[nodiscard]] inline std::optional<KeyHash> parseHash(std::string_view text)
 {
--- a/standins/run_check.cpp
+++ b/standins/run_check.cpp
@@ -23,7 +23,7 @@
 {
     std::ostringstream text;
     for (const TargetHold *hold : {&one, &other})
-        text << hold->target << ' ' << hashText(hold->first) << '-' << hashText(hold->last)
+        text << hold->target << ' ' << keyHashText(hold->first) << '-' << keyHashText(hold->last)
              << " token " << hold->token << " from " << hold->fromUs << " to " << hold->untilUs
              << "; ";
     return text.str();
--- a/standins/target_json.cpp
+++ b/standins/target_json.cpp
@@ -90,8 +90,8 @@
 {
     Json rows = Json::array();
     for (const GrantedSlice &slice : slices)
-        rows.push_back({{"first", hashText(slice.range.first)},
-                        {"last", hashText(slice.range.last)},
+        rows.push_back({{"first", keyHashText(slice.range.first)},
+                        {"last", keyHashText(slice.range.last)},
                         {"token", slice.token.value}});
     return rows;
 }
@@ -101,8 +101,8 @@
     Json rows = Json::array();
     for (const HoldInterval &hold : holds)
         rows.push_back({{"service", hold.service.text()},
-                        {"first", hashText(hold.range.first)},
-                        {"last", hashText(hold.range.last)},
+                        {"first", keyHashText(hold.range.first)},
+                        {"last", keyHashText(hold.range.last)},
                         {"token", hold.token.value},
                         {"fromUs", hold.from.count()},
                         {"untilUs", hold.until.count()}});
@@ -128,7 +128,7 @@
     for (const auto &[requestId, row] : model.ledger())
         rows.push_back({{"requestId", requestId},
                         {"service", row.service.text()},
-                        {"key", hashText(row.hash)},
+                        {"key", keyHashText(row.hash)},
                         {"beganUs", row.began.time_since_epoch().count()},
                         {"token", row.token.value},
                         {"count", row.count}});
