Orders and requests that a cut holds up are discarded by a reset

A renewal was written to a kept connection during a zone cut, given up after 0.8 s, and its bytes arrived 1.4 s after the cut healed: held from arrival, it outlived the lapse that the placer counted from sending. Ruled out: a second placer (one lease holder in the log), a late release. Change: connections to targets and the store are reset on close, also when the process is killed; a grant counts as arriving until its time for an answer.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -19,10 +19,6 @@
 constexpr Duration watchWait = std::chrono::seconds(15);
 /// Pause after a call to the store that failed.
 constexpr Duration storePause = std::chrono::milliseconds(250);
-/// Longest time until an order to hold keys is answered.
-constexpr Duration grantTimeout = std::chrono::milliseconds(800);
-/// A release is answered when the work under way has ended, at most a request's longest work.
-constexpr Duration releaseTimeout = std::chrono::milliseconds(3000);
 constexpr const char *leaseName = "placer";
 
 OrderOutcome outcomeOf(const CallResult &result)
@@ -519,7 +515,7 @@
         const std::shared_ptr<LiveTarget> live = m_gateway.liveTarget(*target);
         CallOptions options;
         options.connectTimeout = order.sendBefore - sentAt;
-        options.timeout = order.kind == OrderKind::Grant ? grantTimeout : releaseTimeout;
+        options.timeout = order.answerWithin;
         const CallResult result =
             co_await live->orders->call(m_gateway.protocol.order(order), std::move(options));
         outcome = outcomeOf(result);
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -43,6 +43,14 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Makes a close, also that of a killed process, discard what has not left. Bytes that a cut held
+/// up would otherwise arrive when it heals: a grant would be renewed long after it was given up.
+void resetOnClose(tcp::socket &socket) noexcept
+{
+    const linger discard{1, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+}
+
 /// A request on its way, which outlives the reading of an answer that comes before its end.
 struct Sending
 {
@@ -131,6 +139,7 @@
         co_return nullptr;
     ++m_opened;
     setProbes(connection->stream.socket());
+    resetOnClose(connection->stream.socket());
     co_return connection;
 }
 
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -10,7 +10,7 @@
 
 /// A target's clock may run 2 % slow (target protocol).
 constexpr double slowClock = 1.02;
-/// For the way to the target and the timers of both sides.
+/// For the timers of both sides.
 constexpr Duration lapseMargin = std::chrono::milliseconds(200);
 /// Moves that only improve the balance and run at a time; each makes its keys wait for a moment.
 constexpr std::size_t maxBalanceMoves = 4;
@@ -38,10 +38,16 @@
     : m_service(std::move(service)), m_self(std::move(self)), m_timing(timing)
 { }
 
+/// A grant that has arrived by then has lapsed after this span.
+Duration ShardPlacer::heldFromArrival() const noexcept
+{
+    return std::chrono::duration_cast<Duration>(m_timing.hold * slowClock) + lapseMargin;
+}
+
+/// A grant that is sent now has lapsed after this span, whenever it arrives.
 Duration ShardPlacer::lapseAfter() const noexcept
 {
-    const auto onTarget = std::chrono::duration_cast<Duration>(m_timing.hold * slowClock);
-    return onTarget + m_timing.sendWindow + lapseMargin;
+    return heldFromArrival() + m_timing.grantTimeout;
 }
 
 void ShardPlacer::adopt(const std::optional<ShardMap> &stored, TimePoint now)
@@ -476,6 +482,7 @@
     order.address = target->entry.address;
     order.keys = slot.range.keys;
     order.sendBefore = now + m_timing.sendWindow;
+    order.answerWithin = m_timing.releaseTimeout;
     slot.orderInFlight = order.id;
     m_flights[order.id] = {order, {}, {}};
     out.orders.push_back(std::move(order));
@@ -531,6 +538,7 @@
     order.keys = slot.range.keys;
     order.hold = m_timing.hold;
     order.sendBefore = now + m_timing.sendWindow;
+    order.answerWithin = m_timing.grantTimeout;
     const bool toNext = slot.range.next && holder == *slot.range.next;
     if (toNext)
         order.handover = slot.handover;
@@ -567,6 +575,8 @@
     TimePoint &until = toNext ? slot.nextHoldUntil : slot.holdUntil;
     switch (outcome) {
     case OrderOutcome::Done:
+        if (until == flight.holdAfter)
+            until = std::max(flight.holdBefore, std::min(until, now + heldFromArrival()));
         if (toNext && slot.stage == Stage::Granting) {
             slot.range.owner = std::exchange(slot.range.next, std::nullopt);
             slot.holdUntil = slot.nextHoldUntil;
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -41,6 +41,7 @@
     Duration hold{}; ///< Length of a grant.
     std::string handover; ///< Handover of the last holder, for a grant; may be empty.
     TimePoint sendBefore{}; ///< It must not leave the process later.
+    Duration answerWithin{}; ///< After that its connection is reset, so it arrives no later.
 };
 
 /// \brief A decision of the placer, for the log.
@@ -72,6 +73,10 @@
     Duration renewEvery = std::chrono::milliseconds(1500);
     /// How long an order may wait in this process before it is dropped.
     Duration sendWindow = std::chrono::milliseconds(300);
+    /// How long a grant may be on its way; an answer takes a few milliseconds.
+    Duration grantTimeout = std::chrono::milliseconds(800);
+    /// A release is answered when the work under way has ended, at most a request's longest work.
+    Duration releaseTimeout = std::chrono::milliseconds(3000);
     /// Between tries of an order that was not carried out.
     Duration retryEvery = std::chrono::milliseconds(300);
     /// A leaving owner goes on serving; how long a move may wait for unanswered grants to lapse.
@@ -157,6 +162,7 @@
 
     ShardPlacer(std::string service, std::string self, PlacerTiming timing);
 
+    [[nodiscard]] Duration heldFromArrival() const noexcept;
     [[nodiscard]] Duration lapseAfter() const noexcept;
     [[nodiscard]] Standings standings(const PlacementView &view, TimePoint now) const;
     [[nodiscard]] std::optional<std::string> chooseReceiver(const Standings &standings,
