Placer: grants of an earlier placer to the next owner stay in doubt; watches restart

The earlier placer's unanswered grant was applied after the keys had moved on. Change: doubt about the next owner is kept apart and carried over. Change: the first call answered after a loss ends all waiting watches, which begin anew from their revision. Ruled out: a slow apply (27.35 s acknowledged, in force at once where the watch was new).

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -86,6 +86,19 @@
         return;
     m_storeAway = !answered;
     m_gateway.log.write("store", answered ? "regained" : "lost", {{"call", call}});
+    if (answered)
+        restartWatches();
+}
+
+/// Begins all watches anew. One that waited while the store was away may never be answered.
+void Control::restartWatches()
+{
+    for (auto &[kind, cancel] : std::exchange(m_watchCancels, {})) {
+        if (!cancel)
+            continue;
+        m_watchRestarted[kind] = true;
+        cancel();
+    }
 }
 
 asio::awaitable<bool> Control::listAll(const Follower &follower, std::uint64_t &revision)
@@ -107,8 +120,12 @@
             co_await pause(storePause);
             continue;
         }
+        m_watchRestarted[follower.kind] = false;
+        const auto keepCancel = [this, kind = follower.kind](auto cancel) {
+            m_watchCancels[kind] = std::move(cancel);
+        };
         const Result<StoredObjects> changes =
-            co_await m_gateway.store.watch(follower.kind, revision, watchWait);
+            co_await m_gateway.store.watch(follower.kind, revision, watchWait, keepCancel);
         if (changes) {
             storeAnswered(true, "watch");
             revision = std::max(revision, changes->revision);
@@ -122,6 +139,8 @@
             m_gateway.log.write("store", "history-gone", {{"kind", int(follower.kind)}});
             continue;
         }
+        if (m_watchRestarted[follower.kind])
+            continue;
         storeAnswered(false, "watch");
         co_await pause(storePause);
     }
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -72,6 +72,7 @@
     void place(const std::string &service, Placing &placing);
     void stepDown(std::string_view why);
     void storeAnswered(bool answered, std::string_view call);
+    void restartWatches();
     [[nodiscard]] double capacity(const Target &target);
     [[nodiscard]] bool placing() const noexcept;
 
@@ -82,6 +83,8 @@
     TimePoint m_renewalSince{}; ///< First try of it.
     bool m_wasPlacing = false;
     bool m_storeAway = false;
+    std::map<ObjectKind, std::function<void()>> m_watchCancels; ///< Of the watches that wait.
+    std::map<ObjectKind, bool> m_watchRestarted; ///< Whether the last one was ended by us.
     std::map<std::string, Placing, std::less<>> m_placing;
     std::set<std::string, std::less<>> m_evacuated;
     std::set<std::string, std::less<>> m_instances;
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,9 @@
     std::uint64_t revision = 0;
 };
 
+/// \brief Receives a function that ends a wait, and an empty one when the wait is over.
+using CancelSink = std::function<void(std::function<void()>)>;
+
 /// \brief How a write ended.
 enum class WriteEnd {
     Stored, ///< The object was written.
@@ -73,8 +77,9 @@
     /// \brief All objects of a kind.
     virtual asio::awaitable<Result<StoredObjects>> list(ObjectKind kind) = 0;
     /// \brief Changes of a kind after a revision; waits for one.
+    /// \param onCancel Receives what ends the wait when invoked.
     virtual asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, std::uint64_t revision,
-                                                         Duration wait) = 0;
+                                                         Duration wait, CancelSink onCancel) = 0;
     /// \brief One object.
     /// \param maybeOld Whether an answer that is seconds old will do; it costs less.
     virtual asio::awaitable<Result<StoredObject>> get(ObjectKind kind, const std::string &name,
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -77,6 +77,7 @@
         }
         if (range.next) {
             slot.nextHoldUntil = lapse;
+            slot.nextDoubtUntil = lapse;
             slot.stage = range.owner ? Stage::Releasing : Stage::Granting;
         }
         m_slots.push_back(std::move(slot));
@@ -425,6 +426,7 @@
     slot.needsWrite = true;
     slot.failedGrants = 0;
     slot.nextHoldUntil = TimePoint{};
+    slot.nextDoubtUntil = TimePoint{};
     out.notes.push_back({"move", slot.range.keys,
                          slot.range.owner ? slot.range.owner->target : std::string(),
                          receiver.entry.id, slot.range.next->fence, reason});
@@ -580,7 +582,7 @@
         if (toNext && slot.stage == Stage::Granting) {
             slot.range.owner = std::exchange(slot.range.next, std::nullopt);
             slot.holdUntil = slot.nextHoldUntil;
-            slot.doubtUntil = slot.failedGrants > 0 ? slot.nextHoldUntil : now;
+            slot.doubtUntil = slot.nextDoubtUntil;
             slot.released = false;
             slot.handover.clear();
             slot.dueAt = now + m_timing.renewEvery;
@@ -594,7 +596,10 @@
             until = flight.holdBefore;
         break;
     case OrderOutcome::NoAnswer:
-        slot.doubtUntil = std::max(slot.doubtUntil, flight.holdAfter);
+        {
+            TimePoint &doubt = toNext ? slot.nextDoubtUntil : slot.doubtUntil;
+            doubt = std::max(doubt, flight.holdAfter);
+        }
         break;
     case OrderOutcome::Refused:
         break;
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -132,6 +132,7 @@
         TimePoint holdUntil{}; ///< The owner may hold the keys until then.
         TimePoint doubtUntil{}; ///< Until then an unanswered grant may still take effect.
         TimePoint nextHoldUntil{}; ///< The next may hold the keys until then.
+        TimePoint nextDoubtUntil{}; ///< Until then an unanswered grant to it may take effect.
         TimePoint dueAt{}; ///< When the next order is due.
         TimePoint settledAt{};
         std::uint64_t orderInFlight = 0;
--- /dev/null
+++ b/tests/gateway/placer_world.cpp
@@ -0,0 +1,356 @@
+#include "gateway/placer_world.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace yuccaspan::gateway::test {
+
+namespace {
+
+constexpr Duration stepSpan = std::chrono::milliseconds(20);
+constexpr Duration wayThere = std::chrono::milliseconds(4);
+constexpr std::uint32_t keyStride = 257;
+constexpr double slowClock = 1.02;
+
+std::vector<std::uint32_t> sampleKeys()
+{
+    std::vector<std::uint32_t> keys;
+    for (std::uint32_t key = 0; key <= lastKey; key += keyStride)
+        keys.push_back(key);
+    return keys;
+}
+
+const std::vector<std::uint32_t> keys = sampleKeys();
+
+} // namespace
+
+PlacerWorld::PlacerWorld(std::uint64_t seed, std::uint32_t targets, WorldFaults faults)
+    : m_random(seed), m_faults(faults)
+{
+    for (std::uint32_t index = 0; index < targets; ++index)
+        addTarget();
+    takeOver();
+}
+
+void PlacerWorld::addTarget()
+{
+    SimTarget target;
+    target.entry.id = "t" + std::to_string(m_targets.size());
+    target.entry.incarnation = m_lives++;
+    target.entry.service = "s";
+    target.entry.address = "10.0.0." + std::to_string(m_targets.size()) + ":80";
+    target.entry.zone = "z";
+    target.entry.slots = 4;
+    m_directory.put(target.entry, m_now);
+    m_targets.push_back(target);
+}
+
+std::size_t PlacerWorld::sampledKeys() noexcept
+{
+    return keys.size();
+}
+
+bool PlacerWorld::chance(std::uint32_t perThousand)
+{
+    return perThousand != 0 && m_random() % 1000 < perThousand;
+}
+
+void PlacerWorld::run(Duration span)
+{
+    const TimePoint end = m_now + span;
+    while (m_now < end && m_violation.empty())
+        step();
+}
+
+void PlacerWorld::step()
+{
+    m_now += stepSpan;
+    faults();
+    deliver();
+    for (const Load &load : m_loads) {
+        const double seconds = std::chrono::duration<double>(stepSpan).count();
+        constexpr int parts = 8;
+        for (int part = 0; part < parts; ++part) {
+            const auto key = load.keys.first
+                + static_cast<std::uint32_t>(m_random() % load.keys.size());
+            m_load.add(key, load.slotsBusy * seconds / parts, m_now);
+        }
+    }
+    place();
+    check();
+}
+
+void PlacerWorld::drainTarget(std::size_t index)
+{
+    SimTarget &target = m_targets[index];
+    target.entry.draining = true;
+    m_directory.put(target.entry, m_now);
+    target.unlistAt = m_now + std::chrono::seconds(3);
+    target.endAt = m_now + std::chrono::seconds(4);
+}
+
+void PlacerWorld::crashTarget(std::size_t index, bool comesBack)
+{
+    SimTarget &target = m_targets[index];
+    target.alive = false;
+    target.grants.clear();
+    target.unlistAt = m_now + std::chrono::seconds(3);
+    if (comesBack)
+        target.backAt = m_now + std::chrono::milliseconds(1000 + m_random() % 4000);
+}
+
+void PlacerWorld::faults()
+{
+    for (std::size_t index = 0; index < m_targets.size(); ++index) {
+        SimTarget &target = m_targets[index];
+        if (target.alive && target.listed && !target.entry.draining) {
+            if (chance(m_faults.crash))
+                crashTarget(index, true);
+            else if (chance(m_faults.drain))
+                drainTarget(index);
+        }
+        if (m_now >= target.unlistAt) {
+            target.unlistAt = TimePoint::max();
+            target.listed = false;
+            m_directory.remove(target.entry.id, m_now);
+        }
+        if (m_now >= target.endAt) {
+            target.endAt = TimePoint::max();
+            target.alive = false;
+            target.grants.clear();
+            target.backAt = m_now + std::chrono::seconds(1);
+        }
+        if (m_now >= target.backAt) {
+            target.backAt = TimePoint::max();
+            target.unlistAt = TimePoint::max();
+            target.alive = true;
+            target.listed = true;
+            target.entry.draining = false;
+            target.entry.incarnation = m_lives++;
+            m_directory.put(target.entry, m_now);
+        }
+    }
+    if (chance(m_faults.storeDown))
+        m_storeBackAt = m_now + std::chrono::seconds(2);
+    if (chance(m_faults.takeover))
+        takeOver();
+}
+
+/// Another placer takes over at once: the lease of the one before has ended by then, but orders
+/// that it sent are still under way.
+void PlacerWorld::takeOver()
+{
+    ++m_placerId;
+    m_placer = nullptr;
+    m_writing.reset();
+    m_adoptAt = m_now + std::chrono::milliseconds(m_random() % 3000);
+}
+
+PlacerWorld::SimTarget *PlacerWorld::find(const Holder &holder)
+{
+    for (SimTarget &target : m_targets) {
+        const bool same = target.entry.id == holder.target
+            && target.entry.incarnation == holder.incarnation && target.alive;
+        if (same)
+            return &target;
+    }
+    return nullptr;
+}
+
+void PlacerWorld::send(const ShardOrder &order)
+{
+    if (chance(m_faults.notSent) || find(order.holder) == nullptr) {
+        m_answers.push_back({m_now + stepSpan, order.id, OrderOutcome::NotSent, m_placerId});
+        return;
+    }
+    Message message{m_now + wayThere, order, m_now + wayThere, true, m_placerId};
+    const bool grant = order.kind == OrderKind::Grant;
+    if (grant && chance(m_faults.lateGrant)) {
+        message.at += std::chrono::milliseconds(2000 + m_random() % 3000);
+        message.answered = false;
+    } else if (chance(m_faults.lostAnswer)) {
+        message.answered = false;
+    }
+    if (!message.answered) {
+        m_answers.push_back(
+            {m_now + order.answerWithin, order.id, OrderOutcome::NoAnswer, m_placerId});
+    }
+    m_messages.push_back(std::move(message));
+}
+
+void PlacerWorld::apply(SimTarget &target, const Message &message)
+{
+    const ShardOrder &order = message.order;
+    // The order replaces what the target held on these keys; the rest of a grant stays.
+    std::vector<Grant> kept;
+    for (const Grant &grant : target.grants) {
+        if (grant.keys.first < order.keys.first) {
+            const auto last = std::min(grant.keys.last, order.keys.first - 1);
+            kept.push_back({{grant.keys.first, last}, grant.fence, grant.until});
+        }
+        if (grant.keys.last > order.keys.last) {
+            const auto first = std::max(grant.keys.first, order.keys.last + 1);
+            kept.push_back({{first, grant.keys.last}, grant.fence, grant.until});
+        }
+    }
+    target.grants = std::move(kept);
+    if (order.kind == OrderKind::Grant) {
+        const auto held = std::chrono::duration_cast<Duration>(order.hold * slowClock);
+        target.grants.push_back({order.keys, order.holder.fence, message.arrived + held});
+    }
+}
+
+void PlacerWorld::deliver()
+{
+    for (std::size_t index = 0; index < m_messages.size();) {
+        if (m_messages[index].at > m_now) {
+            ++index;
+            continue;
+        }
+        const Message message = m_messages[index];
+        m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(index));
+        SimTarget *target = find(message.order.holder);
+        if (target != nullptr)
+            apply(*target, message);
+        if (!message.answered)
+            continue;
+        const bool done = target != nullptr;
+        m_answers.push_back({m_now + (done ? wayThere : message.order.answerWithin),
+                             message.order.id,
+                             done ? OrderOutcome::Done : OrderOutcome::NoAnswer, message.placer});
+    }
+    for (std::size_t index = 0; index < m_answers.size();) {
+        if (m_answers[index].at > m_now) {
+            ++index;
+            continue;
+        }
+        const Answer answer = m_answers[index];
+        m_answers.erase(m_answers.begin() + static_cast<std::ptrdiff_t>(index));
+        if (m_placer != nullptr && answer.placer == m_placerId)
+            m_placer->orderDone(answer.order, answer.outcome, "h", m_now);
+    }
+}
+
+void PlacerWorld::place()
+{
+    const bool storeUp = m_now >= m_storeBackAt;
+    if (m_placer == nullptr && m_now >= m_adoptAt && storeUp) {
+        m_placer = std::make_unique<ShardPlacer>(
+            ShardPlacer::create("s", "p" + std::to_string(m_placerId)));
+        m_placer->adopt(m_stored, m_now);
+    }
+    if (m_placer == nullptr)
+        return;
+    if (m_writing && storeUp) {
+        m_stored = std::move(*m_writing);
+        m_writing.reset();
+        m_placer->writeDone(m_now);
+    }
+    const PlacementView view{m_directory, m_load,
+                             [](const Target &target) { return double(target.entry.slots); }};
+    m_directory.tick(m_now);
+    PlacerOutput out = m_placer->tick(view, m_now);
+    if (out.write)
+        m_writing = std::move(out.write);
+    for (const ShardOrder &order : out.orders)
+        send(order);
+}
+
+const PlacerWorld::SimTarget *PlacerWorld::holder(std::uint32_t key) const
+{
+    for (const SimTarget &target : m_targets) {
+        for (const Grant &grant : target.grants) {
+            if (target.alive && grant.keys.contains(key) && grant.until > m_now)
+                return &target;
+        }
+    }
+    return nullptr;
+}
+
+std::string PlacerWorld::holderOf(std::uint32_t key) const
+{
+    const SimTarget *target = holder(key);
+    return target == nullptr ? std::string() : target->entry.id;
+}
+
+std::size_t PlacerWorld::heldKeys() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(keys, [this](std::uint32_t key) { return holder(key) != nullptr; }));
+}
+
+double PlacerWorld::busiest() const
+{
+    double most = 0;
+    for (const SimTarget &target : m_targets) {
+        double work = 0;
+        for (const Grant &grant : target.grants) {
+            if (grant.until > m_now)
+                work += m_load.rate(grant.keys, m_now);
+        }
+        most = std::max(most, work / target.entry.slots);
+    }
+    return most;
+}
+
+double PlacerWorld::meanLoad() const
+{
+    double slots = 0;
+    for (const SimTarget &target : m_targets)
+        slots += target.alive ? target.entry.slots : 0;
+    return m_load.rate({0, lastKey}, m_now) / slots;
+}
+
+std::string PlacerWorld::describe() const
+{
+    std::ostringstream text;
+    for (const ShardRange &range : m_placer ? m_placer->record().ranges : m_stored->ranges) {
+        text << range.keys.first << '-' << range.keys.last;
+        for (const auto &holder : {range.owner, range.next}) {
+            if (holder)
+                text << ' ' << holder->target << '/' << holder->incarnation << '#' << holder->fence;
+            else
+                text << " -";
+        }
+        text << " held by " << holderOf(range.keys.first) << '\n';
+    }
+    for (const SimTarget &target : m_targets) {
+        text << target.entry.id << '/' << target.entry.incarnation << (target.alive ? "" : " dead")
+             << (target.listed ? "" : " unlisted") << (target.entry.draining ? " draining" : "")
+             << '\n';
+    }
+    return text.str();
+}
+
+void PlacerWorld::check()
+{
+    for (const std::uint32_t key : keys) {
+        const SimTarget *first = nullptr;
+        for (const SimTarget &target : m_targets) {
+            for (const Grant &grant : target.grants) {
+                if (!target.alive || !grant.keys.contains(key) || grant.until <= m_now)
+                    continue;
+                if (first != nullptr && first != &target) {
+                    std::ostringstream text;
+                    text << "key " << key << " is held by " << first->entry.id << " and "
+                         << target.entry.id << " with fence " << grant.fence;
+                    m_violation = text.str();
+                    return;
+                }
+                first = &target;
+                auto &[last, fence] = m_lastHolder[key];
+                const std::string life =
+                    target.entry.id + "/" + std::to_string(target.entry.incarnation);
+                if (last != life && !last.empty()) {
+                    m_moved += 1.0 / static_cast<double>(keys.size());
+                    if (grant.fence <= fence)
+                        m_violation = "fence did not grow on key " + std::to_string(key);
+                }
+                last = life;
+                fence = std::max(fence, grant.fence);
+            }
+        }
+    }
+}
+
+} // namespace yuccaspan::gateway::test
