A target's slots are divided among instances without rounding up

Cause: under overload each of four instances used 3 of a target's 6 slots whatever the others did, so 12 requests stood at it and priority had no say. Change: an instance's own part is its share rounded down; beyond it the target's load report decides.

--- a/src/gateway/target_gate.cpp
+++ b/src/gateway/target_gate.cpp
@@ -47,7 +47,7 @@
         return false;
     const double total = m_slots * spareFactor;
     // Each instance may use its part whatever the others do, and more while they leave it free.
-    const double part = std::max(1.0, std::ceil(total / m_instances));
+    const double part = std::max(1.0, std::floor(static_cast<double>(m_slots) / m_instances));
     if (m_inFlight < part)
         return true;
     return m_inFlight + othersAt(now) + 1 <= total;
