--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -17,6 +17,14 @@
 constexpr Duration leaseTick = std::chrono::milliseconds(200);
 /// How long a watch waits for a change; each watch is a priced call.
 constexpr Duration watchWait = std::chrono::seconds(15);
+/// A desired state is in force everywhere within 2 s of its acknowledgement.
+constexpr Duration gatherSettings = std::chrono::milliseconds(100);
+/// A leaving target gets nothing after 2 s, and its keys take a part of that to move.
+constexpr Duration gatherTargets = std::chrono::milliseconds(200);
+/// Requests for a key that moves wait until the map says where to.
+constexpr Duration gatherMaps = std::chrono::milliseconds(20);
+/// The number of instances only divides budgets.
+constexpr Duration gatherInstances = std::chrono::milliseconds(1000);
 /// Pause after a call to the store that failed.
 constexpr Duration storePause = std::chrono::milliseconds(250);
 constexpr const char *leaseName = "placer";
@@ -53,11 +61,13 @@
 void Control::start()
 {
     static constexpr std::array<Follower, 5> followers{{
-        {ObjectKind::Settings, &Control::allSettings, &Control::changeSettings},
-        {ObjectKind::Targets, &Control::allTargets, &Control::changeTarget},
-        {ObjectKind::Evacuations, &Control::allEvacuations, &Control::changeEvacuation},
-        {ObjectKind::ShardMaps, &Control::allShardMaps, &Control::changeShardMap},
-        {ObjectKind::Instances, &Control::allInstances, &Control::changeInstance},
+        {ObjectKind::Settings, &Control::allSettings, &Control::changeSettings, gatherSettings},
+        {ObjectKind::Targets, &Control::allTargets, &Control::changeTarget, gatherTargets},
+        {ObjectKind::Evacuations, &Control::allEvacuations, &Control::changeEvacuation,
+         gatherSettings},
+        {ObjectKind::ShardMaps, &Control::allShardMaps, &Control::changeShardMap, gatherMaps},
+        {ObjectKind::Instances, &Control::allInstances, &Control::changeInstance,
+         gatherInstances},
     }};
     for (const Follower &follower : followers)
         asio::co_spawn(m_gateway.loop, follow(follower), asio::detached);
@@ -131,6 +141,8 @@
             revision = std::max(revision, changes->revision);
             for (const StoredObject &object : changes->objects)
                 (this->*follower.change)(object);
+            if (!changes->objects.empty())
+                co_await pause(follower.gather);
             continue;
         }
         if (changes.error().code == ErrorCode::LimitExceeded) {
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -35,6 +35,7 @@
         ObjectKind kind;
         void (Control::*all)(const Objects &);
         void (Control::*change)(const StoredObject &);
+        Duration gather; ///< Pause between watches, in which changes gather; each watch is a call.
     };
 
     struct Placing
