Instances report load to the placer, and ask peers while the store turns them away

Change: each instance sends a datagram with work by key and speed by target five times a second; while its store calls fail it asks a peer four times a second for newer settings, targets, evacuations and shard maps. It never places on them.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -47,6 +47,13 @@
     }
 }
 
+/// Where an instance listens for its peers; empty if its entry does not say.
+std::string peerAddressOf(const StoredObject &object)
+{
+    const auto entry = nlohmann::json::parse(object.text, nullptr, false);
+    return entry.is_object() ? entry.value("peers", std::string()) : std::string();
+}
+
 nlohmann::json keysJson(const KeySpan &keys)
 {
     return nlohmann::json::array({keys.first, keys.last});
@@ -55,10 +62,47 @@
 } // namespace
 
 Control::Control(Gateway &gateway, std::string start)
-    : m_gateway(gateway), m_start(std::move(start)), m_lease(gateway.options.name, m_start)
+    : m_gateway(gateway),
+      m_start(std::move(start)),
+      m_lease(gateway.options.name, m_start),
+      m_peers(gateway, peerHooks())
 { }
 
-void Control::start()
+PeerLink::Hooks Control::peerHooks()
+{
+    PeerLink::Hooks hooks;
+    hooks.placer = [this] { return m_lease.holder(); };
+    hooks.placesHere = [this] { return placing(); };
+    hooks.storeAway = [this] { return m_storeAway; };
+    hooks.state = [this] { return sharedState(); };
+    hooks.settings = [this](const StoredObject &object) { changeSettings(object); };
+    hooks.targets = [this](std::vector<TargetEntry> entries, std::uint64_t revision) {
+        m_revisions[ObjectKind::Targets] = revision;
+        takeTargets(entries);
+    };
+    hooks.evacuated = [this](const std::vector<std::string> &zones, std::uint64_t revision) {
+        m_revisions[ObjectKind::Evacuations] = revision;
+        m_evacuated = {zones.begin(), zones.end()};
+        takeEvacuations();
+    };
+    return hooks;
+}
+
+SharedState Control::sharedState() const
+{
+    SharedState state;
+    const auto revisionOf = [this](ObjectKind kind) {
+        const auto found = m_revisions.find(kind);
+        return found == m_revisions.end() ? std::uint64_t{0} : found->second;
+    };
+    state.targetsRevision = revisionOf(ObjectKind::Targets);
+    state.evacuationsRevision = revisionOf(ObjectKind::Evacuations);
+    state.settings = m_settings;
+    state.evacuated = {m_evacuated.begin(), m_evacuated.end()};
+    return state;
+}
+
+Status Control::start()
 {
     static constexpr std::array<Follower, 5> followers{{
         {ObjectKind::Settings, &Control::allSettings, &Control::changeSettings, gatherSettings},
@@ -74,6 +118,7 @@
     asio::co_spawn(m_gateway.loop, registerInstance(), asio::detached);
     asio::co_spawn(m_gateway.loop, keepLease(), asio::detached);
     asio::co_spawn(m_gateway.loop, tickLoop(), asio::detached);
+    return m_peers.start();
 }
 
 asio::awaitable<void> Control::pause(Duration span)
@@ -118,6 +163,7 @@
     if (!listed)
         co_return false;
     revision = listed->revision;
+    m_revisions[follower.kind] = revision;
     (this->*follower.all)(listed->objects);
     co_return true;
 }
@@ -139,6 +185,7 @@
         if (changes) {
             storeAnswered(true, "watch");
             revision = std::max(revision, changes->revision);
+            m_revisions[follower.kind] = revision;
             for (const StoredObject &object : changes->objects)
                 (this->*follower.change)(object);
             if (!changes->objects.empty())
@@ -160,7 +207,9 @@
 
 asio::awaitable<void> Control::registerInstance()
 {
-    const nlohmann::json entry{{"zone", m_gateway.options.zone}, {"start", m_start}};
+    const nlohmann::json entry{{"zone", m_gateway.options.zone},
+                               {"start", m_start},
+                               {"peers", m_gateway.options.peerAddress}};
     std::uint64_t revision = 0;
     while (!m_gateway.stopping) {
         const WriteResult written = co_await m_gateway.store.put(
@@ -186,10 +235,17 @@
             m_gateway.log.write("membership", "bad-entry",
                                 {{"target", object.name}, {"error", entry.error().text}});
     }
+    takeTargets(entries);
+}
+
+void Control::takeTargets(const std::vector<TargetEntry> &entries)
+{
     m_gateway.directory.replaceAll(entries, m_gateway.now());
     m_gateway.targetsKnown = true;
     m_gateway.wakeAll();
-    m_gateway.log.write("membership", "listed", {{"targets", entries.size()}});
+    m_gateway.log.write(
+        "membership", "listed",
+        {{"targets", entries.size()}, {"revision", m_revisions[ObjectKind::Targets]}});
 }
 
 void Control::changeTarget(const StoredObject &object)
@@ -244,6 +300,7 @@
                          {"before", known},
                          {"routes", state->routes.size()},
                          {"revision", object.revision}});
+    m_settings = object;
     m_gateway.apply(std::make_shared<DesiredState>(std::move(*state)));
 }
 
@@ -252,6 +309,11 @@
     m_evacuated.clear();
     for (const StoredObject &object : objects)
         m_evacuated.insert(object.name);
+    takeEvacuations();
+}
+
+void Control::takeEvacuations()
+{
     m_gateway.directory.setEvacuated({m_evacuated.begin(), m_evacuated.end()}, m_gateway.now());
     m_gateway.wakeAll();
 }
@@ -262,18 +324,17 @@
         m_evacuated.erase(object.name);
     else
         m_evacuated.insert(object.name);
-    m_gateway.directory.setEvacuated({m_evacuated.begin(), m_evacuated.end()}, m_gateway.now());
     m_gateway.log.write("settings", object.deleted ? "zone-in" : "zone-out",
                         {{"zone", object.name}, {"revision", object.revision}});
-    m_gateway.wakeAll();
+    takeEvacuations();
 }
 
 void Control::allInstances(const Objects &objects)
 {
     m_instances.clear();
     for (const StoredObject &object : objects)
-        m_instances.insert(object.name);
-    m_gateway.setInstances(static_cast<std::uint32_t>(m_instances.size()));
+        m_instances[object.name] = peerAddressOf(object);
+    takeInstances();
 }
 
 void Control::changeInstance(const StoredObject &object)
@@ -281,8 +342,14 @@
     if (object.deleted)
         m_instances.erase(object.name);
     else
-        m_instances.insert(object.name);
+        m_instances[object.name] = peerAddressOf(object);
+    takeInstances();
+}
+
+void Control::takeInstances()
+{
     m_gateway.setInstances(static_cast<std::uint32_t>(m_instances.size()));
+    m_peers.setPeers(m_instances);
     m_gateway.log.write("membership", "instances", {{"count", m_instances.size()}});
 }
 
@@ -417,9 +484,10 @@
 
 // --- Placing ---------------------------------------------------------------------------------
 
-double Control::slowness(const Target &target)
+double Control::slowness(const Target &target) const
 {
-    return m_gateway.liveTarget(target)->gate.slowness();
+    const auto found = m_gateway.slowness.find(target.entry.id);
+    return found == m_gateway.slowness.end() ? 1.0 : found->second;
 }
 
 asio::awaitable<void> Control::tickLoop()
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/gateway.hpp"
+#include "gateway/peer_link.hpp"
 #include "gateway/placer_lease.hpp"
 #include "gateway/shard_placer.hpp"
 
@@ -23,7 +24,12 @@
     Control(Gateway &gateway, std::string start);
 
     /// \brief Starts the tasks.
-    void start();
+    Status start();
+    /// \brief Answers a peer that asks for what it has missed.
+    [[nodiscard]] std::string answerState(const std::string &request) const
+    {
+        return m_peers.answerState(request);
+    }
     /// \brief Gives the lease up and takes this instance's object out of the store.
     asio::awaitable<void> leave();
 
@@ -63,6 +69,9 @@
     void changeTarget(const StoredObject &object);
     void allSettings(const Objects &objects);
     void changeSettings(const StoredObject &object);
+    void takeTargets(const std::vector<TargetEntry> &entries);
+    void takeEvacuations();
+    void takeInstances();
     void allEvacuations(const Objects &objects);
     void changeEvacuation(const StoredObject &object);
     void allInstances(const Objects &objects);
@@ -74,7 +83,9 @@
     void stepDown(std::string_view why);
     void storeAnswered(bool answered, std::string_view call);
     void restartWatches();
-    [[nodiscard]] double slowness(const Target &target);
+    [[nodiscard]] PeerLink::Hooks peerHooks();
+    [[nodiscard]] SharedState sharedState() const;
+    [[nodiscard]] double slowness(const Target &target) const;
     [[nodiscard]] bool placing() const noexcept;
 
     Gateway &m_gateway;
@@ -88,7 +99,10 @@
     std::map<ObjectKind, bool> m_watchRestarted; ///< Whether the last one was ended by us.
     std::map<std::string, Placing, std::less<>> m_placing;
     std::set<std::string, std::less<>> m_evacuated;
-    std::set<std::string, std::less<>> m_instances;
+    std::map<std::string, std::string> m_instances; ///< Where they listen, by name.
+    std::map<ObjectKind, std::uint64_t> m_revisions; ///< Of the store, that a kind was read at.
+    StoredObject m_settings; ///< The desired state in force, as the store sent it.
+    PeerLink m_peers;
 };
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/http_call.hpp"
 #include "gateway/key_load.hpp"
+#include "gateway/load_message.hpp"
 #include "gateway/platform.hpp"
 #include "gateway/repeat_budget.hpp"
 #include "gateway/shard_map.hpp"
@@ -25,7 +26,7 @@
     std::string zone; ///< Its availability zone.
     std::string callerAddress; ///< "IP:port" for callers.
     std::string readinessAddress; ///< "IP:port" for the balancer's question.
-    std::string metricsAddress; ///< "IP:port" for metrics; empty for none.
+    std::string peerAddress; ///< "IP:port" for other instances and for readers of the metrics.
     double repeatRatio = 0.2; ///< Repeats for each request, all instances together.
     double repeatSlack = 20; ///< Repeats beyond that, all instances together.
     double coldSlack = 5; ///< Requests beyond the rate of a cold target, all instances together.
@@ -113,6 +114,8 @@
     std::map<std::string, std::shared_ptr<LiveTarget>, std::less<>> live;
     std::map<std::string, LiveService, std::less<>> services;
     std::map<std::string, double, std::less<>> routeSeconds; ///< Usual time of a route's requests.
+    std::map<std::string, double, std::less<>> slowness; ///< Of targets, as all instances see it.
+    LoadMessage seenLoad; ///< Load since the last report.
     std::uint32_t instances = 1; ///< Instances that are known, this one included.
     bool stopping = false;
     bool targetsKnown = false;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -23,26 +22,27 @@
 
 } // namespace
 
-Result<std::unique_ptr<GatewayServer>> GatewayServer::create(Gateway &gateway)
+Result<std::unique_ptr<GatewayServer>> GatewayServer::create(Gateway &gateway, StateAnswer state)
 {
-    std::unique_ptr<GatewayServer> server(new GatewayServer(gateway));
+    std::unique_ptr<GatewayServer> server(new GatewayServer(gateway, std::move(state)));
     const GatewayOptions &options = gateway.options;
     if (Status status = server->listen(server->m_callers, options.callerAddress); !status)
         return status.error();
     if (Status status = server->listen(server->m_readiness, options.readinessAddress); !status)
         return status.error();
-    if (!options.metricsAddress.empty()) {
-        if (Status status = server->listen(server->m_metrics, options.metricsAddress); !status)
+    if (!options.peerAddress.empty()) {
+        if (Status status = server->listen(server->m_peers, options.peerAddress); !status)
             return status.error();
     }
     return server;
 }
 
-GatewayServer::GatewayServer(Gateway &gateway)
+GatewayServer::GatewayServer(Gateway &gateway, StateAnswer state)
     : m_gateway(gateway),
       m_callers(gateway.loop),
       m_readiness(gateway.loop),
-      m_metrics(gateway.loop)
+      m_peers(gateway.loop),
+      m_state(std::move(state))
 { }
 
 Status GatewayServer::listen(tcp::acceptor &acceptor, const std::string &address)
@@ -70,8 +70,8 @@
 {
     asio::co_spawn(m_gateway.loop, acceptCallers(), asio::detached);
     asio::co_spawn(m_gateway.loop, acceptQuestions(m_readiness), asio::detached);
-    if (m_metrics.is_open())
-        asio::co_spawn(m_gateway.loop, acceptQuestions(m_metrics), asio::detached);
+    if (m_peers.is_open())
+        asio::co_spawn(m_gateway.loop, acceptQuestions(m_peers), asio::detached);
 }
 
 void GatewayServer::stopAccepting()
@@ -107,23 +107,30 @@
     }
 }
 
+HttpResponse GatewayServer::answerQuestion(const HttpRequest &request)
+{
+    HttpResponse response(http::status::ok, httpVersion11);
+    if (request.target().starts_with("/metrics"))
+        response.body() = m_gateway.metrics.text();
+    else if (request.target().starts_with("/state"))
+        response.body() = m_state(request.body());
+    else if (!m_gateway.ready())
+        response.result(http::status::service_unavailable);
+    return response;
+}
+
 asio::awaitable<void> GatewayServer::answerQuestions(tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     while (true) {
-        http::request<http::empty_body> request;
+        HttpRequest request;
         stream.expires_after(questionIdle);
         const auto [failure, bytes] =
             co_await http::async_read(stream, buffer, request, asTuple);
         if (failure)
             co_return;
-        const bool wantsMetrics = request.target().starts_with("/metrics");
-        const bool good = wantsMetrics || m_gateway.ready();
-        HttpResponse response(good ? http::status::ok : http::status::service_unavailable,
-                              httpVersion11);
-        if (wantsMetrics)
-            response.body() = m_gateway.metrics.text();
+        HttpResponse response = answerQuestion(request);
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
         const auto [writeFailure, written] =
--- /dev/null
+++ b/src/gateway/peer_link.cpp
@@ -0,0 +1,260 @@
+#include "gateway/peer_link.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using asio::ip::udp;
+using nlohmann::json;
+
+/// Hot spans are to be found within a second.
+constexpr Duration reportEvery = std::chrono::milliseconds(200);
+/// How long a store must be away until peers are asked, and between two questions.
+constexpr Duration askEvery = std::chrono::milliseconds(250);
+constexpr Duration askTimeout = std::chrono::milliseconds(400);
+constexpr Duration peerIdle = std::chrono::seconds(3);
+constexpr std::size_t maxDatagram = 60000;
+/// Weight of one answer in the speed of a target.
+constexpr double answerWeight = 0.06;
+
+json entryJson(const TargetEntry &entry, bool listed)
+{
+    return {{"id", entry.id},
+            {"incarnation", entry.incarnation},
+            {"service", entry.service},
+            {"address", entry.address},
+            {"zone", entry.zone},
+            {"slots", entry.slots},
+            {"draining", entry.draining},
+            {"listed", listed}};
+}
+
+TargetEntry entryOf(const json &value)
+{
+    TargetEntry entry;
+    entry.id = value.at("id").get<std::string>();
+    entry.incarnation = value.at("incarnation").get<std::int64_t>();
+    entry.service = value.at("service").get<std::string>();
+    entry.address = value.at("address").get<std::string>();
+    entry.zone = value.at("zone").get<std::string>();
+    entry.slots = value.at("slots").get<std::uint32_t>();
+    entry.draining = value.at("draining").get<bool>();
+    return entry;
+}
+
+} // namespace
+
+PeerLink::PeerLink(Gateway &gateway, Hooks hooks)
+    : m_gateway(gateway), m_hooks(std::move(hooks)), m_socket(gateway.loop)
+{ }
+
+Status PeerLink::start()
+{
+    const auto endpoint = parseEndpoint(m_gateway.options.peerAddress);
+    if (!endpoint)
+        return ok();
+    beast::error_code failure;
+    m_socket.open(udp::v4(), failure);
+    if (!failure)
+        m_socket.bind(udp::endpoint(endpoint->address(), endpoint->port()), failure);
+    if (failure) {
+        return Error{ErrorCode::Unavailable,
+                     "cannot listen at " + m_gateway.options.peerAddress + ": " + failure.message(),
+                     {}};
+    }
+    asio::co_spawn(m_gateway.loop, reportLoad(), asio::detached);
+    asio::co_spawn(m_gateway.loop, takeLoad(), asio::detached);
+    asio::co_spawn(m_gateway.loop, askPeers(), asio::detached);
+    return ok();
+}
+
+asio::awaitable<void> PeerLink::reportLoad()
+{
+    asio::steady_timer timer(m_gateway.loop);
+    while (true) {
+        timer.expires_after(reportEvery);
+        co_await timer.async_wait(asTuple);
+        LoadMessage message = std::exchange(m_gateway.seenLoad, {});
+        if (message.empty())
+            continue;
+        message.instance = m_gateway.options.name;
+        if (m_hooks.placesHere())
+            note(message);
+        else
+            sendTo(m_hooks.placer(), message);
+    }
+}
+
+void PeerLink::sendTo(const std::string &peer, const LoadMessage &message)
+{
+    const auto found = m_peers.find(peer);
+    const auto endpoint =
+        found == m_peers.end() ? std::nullopt : parseEndpoint(found->second);
+    const std::vector<std::uint8_t> bytes = encodeLoadMessage(message);
+    if (!endpoint || bytes.size() > maxDatagram) {
+        m_gateway.metrics.count("load-report", "dropped");
+        return;
+    }
+    beast::error_code failure;
+    m_socket.send_to(asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0,
+                     failure);
+    m_gateway.metrics.count("load-report", failure ? "failed" : "sent");
+}
+
+asio::awaitable<void> PeerLink::takeLoad()
+{
+    std::vector<std::uint8_t> bytes;
+    while (true) {
+        bytes.resize(maxDatagram);
+        udp::endpoint from;
+        const auto [failure, count] =
+            co_await m_socket.async_receive_from(asio::buffer(bytes), from, asTuple);
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        if (failure)
+            continue;
+        bytes.resize(count);
+        const Result<LoadMessage> message = decodeLoadMessage(bytes);
+        m_gateway.metrics.count("load-report", message ? "taken" : "damaged");
+        if (message && m_hooks.placesHere())
+            note(*message);
+    }
+}
+
+void PeerLink::note(const LoadMessage &message)
+{
+    const TimePoint now = m_gateway.now();
+    for (const auto &[service, buckets] : message.work) {
+        LiveService &live = m_gateway.liveService(service);
+        if (live.load == nullptr)
+            continue;
+        for (const auto &[bucket, seconds] : buckets)
+            live.load->add(bucket * KeyLoad::keysPerBucket, seconds, now);
+    }
+    for (const auto &[target, speed] : message.speeds) {
+        double &known = m_gateway.slowness.try_emplace(target, 1.0).first->second;
+        const double mean = speed.ratioSum / std::max(speed.answers, 1U);
+        const double weight = std::min(1.0, answerWeight * speed.answers);
+        known += weight * (mean - known);
+    }
+}
+
+asio::awaitable<void> PeerLink::askPeers()
+{
+    asio::steady_timer timer(m_gateway.loop);
+    while (true) {
+        timer.expires_after(askEvery);
+        co_await timer.async_wait(asTuple);
+        if (!m_hooks.storeAway() || m_peers.size() < 2)
+            continue;
+        auto peer = m_peers.begin();
+        std::advance(peer, static_cast<std::ptrdiff_t>(m_nextPeer++ % m_peers.size()));
+        if (peer->first != m_gateway.options.name)
+            co_await ask(peer->second);
+    }
+}
+
+asio::awaitable<void> PeerLink::ask(std::string address)
+{
+    const SharedState known = m_hooks.state();
+    json maps = json::object();
+    for (const auto &[service, map] : m_gateway.shardMaps)
+        maps[service] = map.revision;
+    const json question{{"settings", known.settings.revision},
+                        {"targets", known.targetsRevision},
+                        {"evacuations", known.evacuationsRevision},
+                        {"maps", std::move(maps)}};
+    HttpRequest request(http::verb::post, "/state", httpVersion11);
+    request.set(http::field::host, address);
+    request.body() = question.dump();
+    request.prepare_payload();
+    CallOptions options;
+    options.connectTimeout = askTimeout;
+    options.timeout = askTimeout;
+    const auto pool = ClientPool::create(m_gateway.loop, address, peerIdle);
+    const CallResult result = co_await pool->call(std::move(request), std::move(options));
+    const bool answered =
+        result.end == CallEnd::Answered && result.response.result() == http::status::ok;
+    m_gateway.metrics.count("peer-state", answered ? "answered" : "failed");
+    if (answered)
+        learn(result.response.body());
+}
+
+std::string PeerLink::answerState(const std::string &request) const
+{
+    try {
+        const json question = json::parse(request);
+        const SharedState state = m_hooks.state();
+        json answer = json::object();
+        if (state.settings.revision > question.at("settings").get<std::uint64_t>()
+            && state.settings.body) {
+            answer["settings"] = {{"name", state.settings.name},
+                                  {"revision", state.settings.revision},
+                                  {"body", *state.settings.body}};
+        }
+        if (state.targetsRevision > question.at("targets").get<std::uint64_t>()) {
+            json entries = json::array();
+            for (const auto &[id, target] : m_gateway.directory.targets()) {
+                if (target.listed)
+                    entries.push_back(entryJson(target.entry, target.listed));
+            }
+            answer["targets"] = {{"revision", state.targetsRevision},
+                                 {"entries", std::move(entries)}};
+        }
+        if (state.evacuationsRevision > question.at("evacuations").get<std::uint64_t>()) {
+            answer["evacuations"] = {{"revision", state.evacuationsRevision},
+                                     {"zones", state.evacuated}};
+        }
+        json maps = json::array();
+        for (const auto &[service, map] : m_gateway.shardMaps) {
+            const auto known = question.at("maps").value(service, std::uint64_t{0});
+            if (map.revision > known)
+                maps.push_back({{"revision", map.revision}, {"text", encodeShardMap(map.map)}});
+        }
+        answer["maps"] = std::move(maps);
+        return answer.dump();
+    } catch (const json::exception &failure) {
+        m_gateway.log.write("peers", "bad-question", {{"error", failure.what()}});
+        return "{}";
+    }
+}
+
+void PeerLink::learn(const std::string &answer)
+{
+    try {
+        const json root = json::parse(answer);
+        if (root.contains("settings")) {
+            StoredObject object;
+            object.name = root.at("settings").at("name").get<std::string>();
+            object.revision = root.at("settings").at("revision").get<std::uint64_t>();
+            object.body = std::make_shared<const json>(root.at("settings").at("body"));
+            m_hooks.settings(object);
+        }
+        if (root.contains("targets")) {
+            std::vector<TargetEntry> entries;
+            for (const json &entry : root.at("targets").at("entries"))
+                entries.push_back(entryOf(entry));
+            m_hooks.targets(std::move(entries), root.at("targets").at("revision"));
+        }
+        if (root.contains("evacuations")) {
+            m_hooks.evacuated(root.at("evacuations").at("zones"),
+                              root.at("evacuations").at("revision"));
+        }
+        for (const json &item : root.at("maps")) {
+            Result<ShardMap> map = decodeShardMap(item.at("text").get<std::string>());
+            if (map)
+                m_gateway.apply(std::move(*map), item.at("revision").get<std::uint64_t>());
+        }
+    } catch (const json::exception &failure) {
+        m_gateway.log.write("peers", "bad-answer", {{"error", failure.what()}});
+    }
+}
+
+} // namespace yuccaspan::gateway
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -98,7 +98,9 @@
     if (end == AttemptEnd::Answered) {
         const double seconds = std::chrono::duration<double>(attempt.latency).count();
         double &usual = gateway.routeSeconds.try_emplace(flow.route->name, seconds).first->second;
-        target->gate.compare(seconds / std::max(usual, 0.001));
+        const double ratio = seconds / std::max(usual, 0.001);
+        target->gate.compare(ratio);
+        gateway.seenLoad.addAnswer(target->entry.id, ratio);
         usual += newestWeight * (seconds - usual);
     }
     if (!target->lane.wakeOne())
@@ -169,17 +171,18 @@
         return &m_gateway.liveService(m_flow->service).lane;
     }
 
+    /// Tells the placer what work the key brings, whether or not it can be served.
     void noteKeyLoad()
     {
-        LiveService &service = m_gateway.liveService(m_flow->service);
-        if (service.load == nullptr || !m_flow->facts.key)
+        const bool keyed = m_gateway.liveService(m_flow->service).load != nullptr;
+        if (!keyed || !m_flow->facts.key)
             return;
         constexpr double unknownSeconds = 0.1;
         const auto usual = m_gateway.routeSeconds.find(m_flow->route->name);
         const double seconds =
             usual == m_gateway.routeSeconds.end() ? unknownSeconds : usual->second;
-        // Each instance sees its part of the callers; the parts are alike.
-        service.load->add(*m_flow->facts.key, seconds * m_gateway.instances, m_gateway.now());
+        m_gateway.seenLoad.addWork(m_flow->service, *m_flow->facts.key / KeyLoad::keysPerBucket,
+                                   seconds);
     }
 
     bool mayRepeat(RepeatBudget &budget)
