--- a/src/gateway/placer_lease.hpp
+++ b/src/gateway/placer_lease.hpp
@@ -32,7 +32,7 @@
 {
     /// From the sending of a renewal to the end of the lease. A grant must outlive a takeover:
     /// length + look + renewal of grants is under the length of a grant.
-    Duration length = std::chrono::milliseconds(4000);
+    Duration length = std::chrono::milliseconds(3000);
     Duration renewEvery = std::chrono::milliseconds(1000); ///< Three renewals may fail.
     Duration lookEvery = std::chrono::milliseconds(1000); ///< Between looks of those that wait.
 };
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -22,7 +22,7 @@
 /// Between two rounds of balancing; the load needs that long to show the last round.
 constexpr Duration spreadEvery = std::chrono::milliseconds(500);
 /// Load of the busiest target over the mean that starts a move.
-constexpr double spreadAbove = 1.4;
+constexpr double spreadAbove = 1.5;
 /// Work beyond its part under which a target needs no relief, in slots: the load is known no better.
 constexpr double leastExcess = 1.5;
 /// Part of all slots in use up to which fast targets are preferred in full.
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -68,9 +68,9 @@
 {
     /// Length of a grant. A target that fell silent keeps its keys that long; a placer that is away
     /// for less costs nothing.
-    Duration hold = std::chrono::seconds(6);
+    Duration hold = std::chrono::milliseconds(5000);
     /// Between renewals of a grant; three may be lost within a grant.
-    Duration renewEvery = std::chrono::milliseconds(1500);
+    Duration renewEvery = std::chrono::milliseconds(1000);
     /// How long an order may wait in this process before it is dropped.
     Duration sendWindow = std::chrono::milliseconds(300);
     /// How long a grant may be on its way; an answer takes a few milliseconds.
