--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -174,6 +174,7 @@
         if (flow->route->timeout > Duration::zero())
             allowed = std::min(allowed, flow->route->timeout);
         flow->deadline = flow->arrived + allowed;
+        flow->urgency = {flow->route->priority, flow->arrived + flow->route->latencyTarget};
         flow->service = m_gateway.dealer.next(*flow->route);
         eraseConnectionFields(flow->request);
         flow->request.keep_alive(true);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,29 +16,6 @@
 
 } // namespace
 
-bool WaitingLane::wakeOne()
-{
-    for (auto &[priority, waiter] : m_waiters) {
-        if (waiter->woken)
-            continue;
-        waiter->woken = true;
-        waiter->timer.cancel();
-        return true;
-    }
-    return false;
-}
-
-void WaitingLane::wakeAll()
-{
-    while (wakeOne()) { }
-}
-
-std::size_t WaitingLane::ahead(std::uint32_t priority) const
-{
-    return static_cast<std::size_t>(
-        std::distance(m_waiters.begin(), m_waiters.upper_bound(priority)));
-}
-
 Gateway::Gateway(asio::io_context &loopIn, const Clock &clockIn, EventLog &logIn,
                  TargetProtocol &protocolIn, MetadataStore &storeIn, PlatformCodec &codecIn,
                  GatewayOptions optionsIn)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "gateway/platform.hpp"
 #include "gateway/repeat_budget.hpp"
 #include "gateway/shard_map.hpp"
+#include "gateway/waiting_lane.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -36,35 +37,6 @@
     Duration holdMost = std::chrono::seconds(10); ///< Longest grant that targets take.
 };
 
-/// \brief A request that waits until a target has room for it.
-struct Waiter
-{
-    explicit Waiter(asio::io_context &loop) : timer(loop) { }
-    asio::steady_timer timer;
-    bool woken = false;
-};
-
-/// \brief Requests that wait for the same targets, the most urgent first.
-class WaitingLane
-{
-public:
-    using Place = std::multimap<std::uint32_t, Waiter *>::iterator;
-
-    /// \brief Queues a waiter behind those of its priority.
-    Place add(std::uint32_t priority, Waiter &waiter) { return m_waiters.emplace(priority, &waiter); }
-    void remove(Place place) { m_waiters.erase(place); }
-    /// \brief Wakes the first waiter that is not yet awake.
-    /// \returns Whether there was one.
-    bool wakeOne();
-    void wakeAll();
-    /// \brief Waiters at that priority or before it.
-    [[nodiscard]] std::size_t ahead(std::uint32_t priority) const;
-    [[nodiscard]] bool empty() const noexcept { return m_waiters.empty(); }
-
-private:
-    std::multimap<std::uint32_t, Waiter *> m_waiters;
-};
-
 /// \brief A target with what this instance knows and uses of it.
 struct LiveTarget
 {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -30,6 +30,18 @@
     return std::ranges::find(promises, status) != promises.end();
 }
 
+/// A request that waits on a timer until it is woken.
+class TimedWaiter final : public Waiter
+{
+public:
+    TimedWaiter(asio::io_context &loop, Urgency urgency) : Waiter(urgency), m_timer(loop) { }
+    [[nodiscard]] asio::steady_timer &timer() noexcept { return m_timer; }
+
+private:
+    void resume() override { m_timer.cancel(); }
+    asio::steady_timer m_timer;
+};
+
 /// One attempt at a target.
 struct Attempt
 {
@@ -43,13 +55,13 @@
 {
     const TimePoint from = gateway.now();
     const Duration left = flow->deadline - from;
-    Waiter waiter(gateway.loop);
-    waiter.timer.expires_after(std::max(Duration(1), std::min(longest, left)));
+    TimedWaiter waiter(gateway.loop, flow->urgency);
+    waiter.timer().expires_after(std::max(Duration(1), std::min(longest, left)));
     std::optional<WaitingLane::Place> place;
     if (lane != nullptr)
-        place = lane->add(flow->route->priority, waiter);
-    flow->cancel = [&waiter] { waiter.timer.cancel(); };
-    co_await waiter.timer.async_wait(asTuple);
+        place = lane->add(waiter);
+    flow->cancel = [&waiter] { waiter.timer().cancel(); };
+    co_await waiter.timer().async_wait(asTuple);
     flow->cancel = nullptr;
     if (place)
         lane->remove(*place);
@@ -103,8 +115,9 @@
         gateway.seenLoad.addAnswer(target->entry.id, ratio);
         usual += newestWeight * (seconds - usual);
     }
-    if (!target->lane.wakeOne())
-        gateway.liveService(target->entry.service).lane.wakeOne();
+    const TimePoint now = gateway.now();
+    if (!target->lane.wakeOne(now))
+        gateway.liveService(target->entry.service).lane.wakeOne(now);
 }
 
 /// Whether a target's answer may be delivered as it is.
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -39,6 +39,7 @@
     std::string service;
     TimePoint arrived;
     TimePoint deadline; ///< The caller's or the route's, whichever is first.
+    Urgency urgency; ///< Its place among waiting requests.
     bool callerGone = false;
     std::function<void()> cancel; ///< Ends what it waits for; may be empty.
 
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -58,7 +58,7 @@
                           double parallel)
 {
     const double each = usualSeconds(gateway, flow) * target->gate.slowness();
-    const auto ahead = static_cast<double>(lane.ahead(flow.route->priority));
+    const auto ahead = static_cast<double>(lane.ahead(flow.urgency, gateway.now()));
     const Duration wait = fromSeconds((ahead + 1) * each / std::max(parallel, 1.0));
     const Duration work = fromSeconds(each / 2);
     if (gateway.now() + wait + work > flow.deadline)
