No move waits for a silent owner; neighbouring ranges of one owner join

Change: keys of an owner that does not answer stay its own in the record until its grants have lapsed; then one step moves them. Keys of an owner that leaves are cut by the work on them; neighbours of one owner get one token and join.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,7 +80,7 @@
     known.revision = revision;
     std::map<std::uint32_t, TimePoint> moving;
     for (const ShardRange &range : map.ranges) {
-        if (!range.next)
+        if (!range.next || range.refencing())
             continue;
         const auto before = known.movingSince.find(range.keys.first);
         moving.emplace(range.keys.first,
--- a/src/gateway/shard_map.hpp
+++ b/src/gateway/shard_map.hpp
@@ -38,6 +38,11 @@
     std::int64_t incarnation = 0; ///< Which life of the target.
     std::uint64_t fence = 0; ///< Fencing token; grows with each owner of a key.
 
+    /// \brief Whether both are the same life of the same target.
+    [[nodiscard]] bool sameLife(const Holder &other) const noexcept
+    {
+        return target == other.target && incarnation == other.incarnation;
+    }
     [[nodiscard]] friend bool operator==(const Holder &, const Holder &) = default;
 };
 
@@ -51,6 +56,11 @@
     std::optional<Holder> owner;
     std::optional<Holder> next;
 
+    /// \brief Whether the owner is only to get a higher fencing token; it serves all the while.
+    [[nodiscard]] bool refencing() const noexcept
+    {
+        return owner && next && owner->sameLife(*next);
+    }
     [[nodiscard]] friend bool operator==(const ShardRange &, const ShardRange &) = default;
 };
 
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -19,6 +19,16 @@
 constexpr std::size_t maxPieces = 3;
 /// Unanswered grants after which another target is to be the next owner.
 constexpr std::uint32_t maxFailedGrants = 3;
+/// Ranges for each target beyond which the keys of an owner that leaves are no longer cut.
+constexpr std::size_t wantedRangesPerTarget = 3;
+/// Work in slots that makes a piece of its own when the keys of an owner that leaves are cut.
+constexpr double workPerPiece = 1.0;
+/// Between two rounds of joining neighbouring ranges; each costs two writes of the record.
+constexpr Duration refenceEvery = std::chrono::milliseconds(1000);
+/// Ranges that moved a moment ago may move on.
+constexpr Duration refenceAfter = std::chrono::milliseconds(2000);
+/// Pairs that are joined in a round.
+constexpr std::size_t maxRefences = 6;
 /// Between two rounds of balancing; the load needs that long to show the last round.
 constexpr Duration spreadEvery = std::chrono::milliseconds(500);
 /// Load of the busiest target over the mean that starts a move.
@@ -86,7 +96,8 @@
         if (range.next) {
             slot.nextHoldUntil = lapse;
             slot.nextDoubtUntil = lapse;
-            slot.stage = range.owner ? Stage::Releasing : Stage::Granting;
+            const bool release = range.owner && !range.refencing();
+            slot.stage = release ? Stage::Releasing : Stage::Granting;
         }
         m_slots.push_back(std::move(slot));
     }
@@ -128,6 +139,7 @@
         reassignUnusable(view, known, out, now);
         fillEmpty(view, known, out, now);
         spreadHot(view, known, out, now);
+        refenceNeighbours(out, now);
         for (Slot &slot : m_slots)
             advance(slot, view, out, now);
     }
@@ -155,7 +167,8 @@
         if (slot.needsWrite)
             continue;
         if (slot.stage == Stage::AwaitIntent) {
-            slot.stage = slot.range.owner && !slot.released ? Stage::Releasing : Stage::Granting;
+            const bool release = slot.range.owner && !slot.released && !slot.range.refencing();
+            slot.stage = release ? Stage::Releasing : Stage::Granting;
             slot.dueAt = now;
         } else if (slot.stage == Stage::AwaitSettle) {
             slot.stage = Stage::Settled;
@@ -278,6 +291,52 @@
     }
 }
 
+/// Gives neighbouring ranges of one owner the same fencing token, so that they become one again.
+void ShardPlacer::refenceNeighbours(PlacerOutput &out, TimePoint now)
+{
+    if (now - m_lastRefence < refenceEvery)
+        return;
+    const auto restful = [now](const Slot &slot) {
+        return slot.stage == Stage::Settled && slot.range.owner && !slot.silent && !slot.needsWrite
+            && now >= slot.doubtUntil && now - slot.settledAt >= refenceAfter;
+    };
+    std::size_t pairs = 0;
+    for (std::size_t index = 0; index + 1 < m_slots.size() && pairs < maxRefences; ++index) {
+        Slot &left = m_slots[index];
+        Slot &right = m_slots[index + 1];
+        if (!restful(left) || !restful(right) || !left.range.owner->sameLife(*right.range.owner))
+            continue;
+        m_lastRefence = now;
+        Holder merged = *left.range.owner;
+        merged.fence = ++m_lastFence;
+        for (Slot *slot : {&left, &right}) {
+            slot->range.next = merged;
+            slot->stage = Stage::AwaitIntent;
+            slot->needsWrite = true;
+            slot->failedGrants = 0;
+            slot->nextHoldUntil = TimePoint{};
+            slot->nextDoubtUntil = TimePoint{};
+        }
+        out.notes.push_back({"refence",
+                             {left.range.keys.first, right.range.keys.last},
+                             merged.target,
+                             merged.target,
+                             merged.fence,
+                             "neighbours of one owner"});
+        ++pairs;
+        ++index;
+    }
+}
+
+/// Pieces that the keys of an owner that leaves are cut into: as many as their work is worth.
+std::size_t ShardPlacer::piecesFor(double work, const Standings &standings) const
+{
+    const bool manyRanges = m_slots.size() > wantedRangesPerTarget * standings.size();
+    const auto byWork = static_cast<std::size_t>(std::ceil(work / workPerPiece));
+    const std::size_t most = manyRanges ? 1 : maxPieces;
+    return std::clamp<std::size_t>(byWork, 1, std::min(most, std::max<std::size_t>(standings.size(), 1)));
+}
+
 bool ShardPlacer::hasEnded(const Holder &holder, const TargetDirectory &directory) const
 {
     const Target *target = directory.find(holder.target);
@@ -311,8 +370,12 @@
             && now - *target->leavingSince < m_timing.leaveWithin;
         if (inDoubt && mayWait)
             continue;
-        if (owner && !ended && standings.size() > 1) {
-            const std::size_t pieces = std::min(maxPieces, standings.size());
+        // Nothing is gained by a move that waits for a silent owner; it may be heard again.
+        if (owner && !ended && m_slots[index].silent && now < m_slots[index].holdUntil)
+            continue;
+        if (owner && !ended) {
+            const std::size_t pieces =
+                piecesFor(view.load.rate(m_slots[index].range.keys, now), standings);
             for (std::size_t piece = pieces; piece > 1; --piece) {
                 const std::uint32_t at =
                     view.load.cut(m_slots[index].range.keys, 1.0 / static_cast<double>(piece));
@@ -559,6 +622,16 @@
 void ShardPlacer::replaceNext(Slot &slot, const PlacementView &view, PlacerOutput &out,
                               TimePoint now)
 {
+    if (slot.range.refencing()) {
+        // Either token may be the one that the owner holds the keys with.
+        slot.range.owner = slot.range.next;
+        slot.holdUntil = std::max(slot.holdUntil, slot.nextHoldUntil);
+        slot.doubtUntil = std::max(slot.doubtUntil, slot.holdUntil);
+        slot.range.next.reset();
+        slot.stage = Stage::AwaitSettle;
+        slot.needsWrite = true;
+        return;
+    }
     Standings known = standings(view, now);
     known.erase(slot.range.next->target);
     const auto receiver = chooseReceiver(known, view.load.rate(slot.range.keys, now));
@@ -624,15 +697,19 @@
 {
     const bool toNext = slot.range.next && flight.order.holder == *slot.range.next;
     TimePoint &until = toNext ? slot.nextHoldUntil : slot.holdUntil;
+    if (!toNext)
+        slot.silent = outcome == OrderOutcome::NotSent || outcome == OrderOutcome::NoAnswer;
     switch (outcome) {
     case OrderOutcome::Done:
         if (until == flight.holdAfter)
             until = std::max(flight.holdBefore, std::min(until, now + heldFromArrival()));
         if (toNext && slot.stage == Stage::Granting) {
+            const bool refenced = slot.range.refencing();
             slot.range.owner = std::exchange(slot.range.next, std::nullopt);
-            slot.holdUntil = slot.nextHoldUntil;
-            slot.doubtUntil = slot.nextDoubtUntil;
+            slot.holdUntil = std::max(slot.nextHoldUntil, refenced ? slot.holdUntil : TimePoint{});
+            slot.doubtUntil = std::max(slot.nextDoubtUntil, refenced ? slot.doubtUntil : TimePoint{});
             slot.released = false;
+            slot.silent = false;
             slot.handover.clear();
             slot.dueAt = now + m_timing.renewEvery;
             slot.stage = Stage::AwaitSettle;
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -140,6 +140,7 @@
         std::uint32_t failedGrants = 0;
         bool needsWrite = false;
         bool released = false;
+        bool silent = false; ///< The last order to the owner was not answered.
         std::string handover;
     };
 
@@ -186,6 +187,8 @@
                    PlacerOutput &out);
     void splitSlot(std::size_t slot, std::uint32_t firstOfSecond);
     void mergeNeighbours();
+    void refenceNeighbours(PlacerOutput &out, TimePoint now);
+    [[nodiscard]] std::size_t piecesFor(double work, const Standings &standings) const;
     void advance(Slot &slot, const PlacementView &view, PlacerOutput &out, TimePoint now);
     void advanceRelease(Slot &slot, const PlacementView &view, PlacerOutput &out, TimePoint now);
     void advanceGrant(Slot &slot, const PlacementView &view, PlacerOutput &out, TimePoint now);
@@ -209,6 +212,7 @@
     bool m_takeoverStored = false;
     bool m_needsWrite = false;
     TimePoint m_lastSpread{};
+    TimePoint m_lastRefence{};
     std::vector<Slot> m_slots;
     std::map<std::uint64_t, Flight> m_flights;
 };
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -75,7 +75,7 @@
     if (range == nullptr)
         return reject(EndReason::NoOwner, ownerLostPause);
     flow.mapWrite = known->second.map.write;
-    if (range->next) {
+    if (range->next && !range->refencing()) {
         const auto since = known->second.movingSince.find(range->keys.first);
         const bool fresh = since != known->second.movingSince.end()
             && gateway.now() - since->second < longestMove;
