--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -45,6 +45,16 @@
 /// Ranges for each target beyond which spans are no longer cut.
 constexpr std::size_t maxRangesPerTarget = 6;
 
+/// The span without its end, if most of its keys lie there with little of the work: hot keys lie
+/// close together, and the others need not move with them.
+KeySpan trimmed(const KeySpan &keys, const KeyLoad &load)
+{
+    constexpr double workKept = 0.8;
+    const std::uint32_t end = load.cut(keys, workKept);
+    const bool worthwhile = end != keys.first && (keys.last - end + 1) * 2 > keys.size();
+    return worthwhile ? KeySpan{keys.first, end - 1} : keys;
+}
+
 } // namespace
 
 ShardPlacer ShardPlacer::create(std::string service, std::string self, PlacerTiming timing)
@@ -510,7 +520,7 @@
     std::uint32_t at = keys.first;
     if (surplus < rate)
         at = view.load.cut(keys, 1.0 - surplus / rate);
-    const KeySpan moving{at, keys.last};
+    const KeySpan moving = trimmed({at, keys.last}, view.load);
     const double moved = view.load.rate(moving, now);
     const auto receiver = chooseReceiver(standings, moved);
     if (!receiver || *receiver == giver)
@@ -519,6 +529,8 @@
     if ((taker.work + moved) / taker.capacity >= from.load())
         return false;
     std::size_t index = *heaviest;
+    if (moving.last != keys.last)
+        splitSlot(index, moving.last + 1);
     if (at != keys.first)
         splitSlot(index++, at);
     from.work -= moved;
