--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -13,8 +13,16 @@
 constexpr double slowClock = 1.02;
 /// For the timers of both sides.
 constexpr Duration lapseMargin = std::chrono::milliseconds(200);
-/// Moves that only improve the balance and run at a time; each makes its keys wait for a moment.
-constexpr std::size_t maxBalanceMoves = 4;
+/// Moves that only improve the balance and run at a time, for each target; each makes its keys wait
+/// for a moment. A zone that comes back brings a third of the targets without keys.
+constexpr double balanceMovesPerTarget = 0.35;
+constexpr std::size_t leastBalanceMoves = 4;
+
+std::size_t maxBalanceMoves(std::size_t targets)
+{
+    return std::max(leastBalanceMoves,
+                    static_cast<std::size_t>(balanceMovesPerTarget * static_cast<double>(targets)));
+}
 /// Pieces that the keys of a target that left are cut into, so that no receiver takes them all.
 constexpr std::size_t maxPieces = 3;
 /// Unanswered grants after which another target is to be the next owner.
@@ -420,7 +428,7 @@
                             TimePoint now)
 {
     for (auto &[id, standing] : standings) {
-        if (standing.keys != 0 || standing.cold || movesUnderWay() >= maxBalanceMoves)
+        if (standing.keys != 0 || standing.cold || movesUnderWay() >= maxBalanceMoves(standings.size()))
             continue;
         // From the target with the most work for its size; by keys while there is no work.
         std::optional<std::size_t> donor;
@@ -478,7 +486,7 @@
     const double mean = work / capacity;
     std::size_t moves = movesUnderWay();
     for (const std::string &giver : byLoad) {
-        if (moves >= maxBalanceMoves)
+        if (moves >= maxBalanceMoves(standings.size()))
             return;
         if (relieve(giver, mean, view, standings, out, now))
             ++moves;
