The placer tells its peers what a write of the shard map has changed

Change: the placer sends the changed ranges in a datagram; a peer that missed one asks it, and the watch of maps gathers for 0.7 s.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -21,8 +21,8 @@
 constexpr Duration gatherSettings = std::chrono::milliseconds(100);
 /// A leaving target gets nothing after 2 s, and its keys take a part of that to move.
 constexpr Duration gatherTargets = std::chrono::milliseconds(200);
-/// Requests for a key that moves wait until the map says where to.
-constexpr Duration gatherMaps = std::chrono::milliseconds(20);
+/// The placer tells its peers of each write; the store is for those that it did not reach.
+constexpr Duration gatherMaps = std::chrono::milliseconds(700);
 /// The number of instances only divides budgets.
 constexpr Duration gatherInstances = std::chrono::milliseconds(1000);
 /// Pause after a call to the store that failed.
@@ -596,6 +596,10 @@
         if (stored) {
             after->second.revision = written.object.revision;
             after->second.placer->writeDone(m_gateway.now());
+            const auto known = m_gateway.shardMaps.find(service);
+            const ShardMap before =
+                known == m_gateway.shardMaps.end() ? ShardMap{} : known->second.map;
+            m_peers.tellPeers(shardDelta(before, map, written.object.revision));
             m_gateway.apply(map, written.object.revision);
             place(service, after->second);
             co_return;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -70,7 +70,7 @@
                      {}};
     }
     asio::co_spawn(m_gateway.loop, reportLoad(), asio::detached);
-    asio::co_spawn(m_gateway.loop, takeLoad(), asio::detached);
+    asio::co_spawn(m_gateway.loop, takeMessages(), asio::detached);
     asio::co_spawn(m_gateway.loop, askPeers(), asio::detached);
     return ok();
 }
@@ -88,27 +88,47 @@
         if (m_hooks.placesHere())
             note(message);
         else
-            sendTo(m_hooks.placer(), message);
+            m_gateway.metrics.count(
+                "load-report",
+                sendTo(m_hooks.placer(), encodeLoadMessage(message)) ? "sent" : "dropped");
     }
 }
 
-void PeerLink::sendTo(const std::string &peer, const LoadMessage &message)
+bool PeerLink::sendTo(const std::string &peer, const std::vector<std::uint8_t> &bytes)
 {
     const auto found = m_peers.find(peer);
-    const auto endpoint =
-        found == m_peers.end() ? std::nullopt : parseEndpoint(found->second);
-    const std::vector<std::uint8_t> bytes = encodeLoadMessage(message);
-    if (!endpoint || bytes.size() > maxDatagram) {
-        m_gateway.metrics.count("load-report", "dropped");
-        return;
-    }
+    const auto endpoint = found == m_peers.end() ? std::nullopt : parseEndpoint(found->second);
+    if (!endpoint || bytes.size() > maxDatagram)
+        return false;
     beast::error_code failure;
     m_socket.send_to(asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0,
                      failure);
-    m_gateway.metrics.count("load-report", failure ? "failed" : "sent");
+    return !failure;
+}
+
+void PeerLink::tellPeers(const ShardDelta &delta)
+{
+    const std::vector<std::uint8_t> bytes = encodeShardDelta(delta);
+    for (const auto &[name, address] : m_peers) {
+        if (name != m_gateway.options.name)
+            m_gateway.metrics.count("map-change", sendTo(name, bytes) ? "sent" : "dropped");
+    }
 }
 
-asio::awaitable<void> PeerLink::takeLoad()
+void PeerLink::takeDelta(const ShardDelta &delta)
+{
+    const auto known = m_gateway.shardMaps.find(delta.service);
+    if (known == m_gateway.shardMaps.end() || known->second.revision >= delta.revision)
+        return;
+    std::optional<ShardMap> map = applyDelta(known->second.map, delta);
+    m_gateway.metrics.count("map-change", map ? "taken" : "missed-one-before");
+    if (map)
+        m_gateway.apply(std::move(*map), delta.revision);
+    else if (const auto placer = m_peers.find(m_hooks.placer()); placer != m_peers.end())
+        asio::co_spawn(m_gateway.loop, ask(placer->second), asio::detached);
+}
+
+asio::awaitable<void> PeerLink::takeMessages()
 {
     std::vector<std::uint8_t> bytes;
     while (true) {
@@ -121,6 +141,10 @@
         if (failure)
             continue;
         bytes.resize(count);
+        if (const Result<ShardDelta> delta = decodeShardDelta(bytes)) {
+            takeDelta(*delta);
+            continue;
+        }
         const Result<LoadMessage> message = decodeLoadMessage(bytes);
         m_gateway.metrics.count("load-report", message ? "taken" : "damaged");
         if (message && m_hooks.placesHere())
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -1,9 +1,10 @@
 /// \file
-/// \brief Messages between instances: load for the placer, and state for those that the store
-/// turns away.
+/// \brief Messages between instances: load for the placer, changes of shard maps from it, and state
+/// for those that the store turns away.
 #pragma once
 
 #include "gateway/gateway.hpp"
+#include "gateway/shard_delta.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -49,17 +50,20 @@
     Status start();
     /// \brief Takes over where peers listen, by name.
     void setPeers(std::map<std::string, std::string> peers) { m_peers = std::move(peers); }
+    /// \brief Tells all peers what a write of a shard map has changed.
+    void tellPeers(const ShardDelta &delta);
     /// \brief Answers a peer that asks for what it has missed.
     [[nodiscard]] std::string answerState(const std::string &request) const;
 
 private:
     asio::awaitable<void> reportLoad();
-    asio::awaitable<void> takeLoad();
+    asio::awaitable<void> takeMessages();
     asio::awaitable<void> askPeers();
     asio::awaitable<void> ask(std::string address);
     void learn(const std::string &answer);
     void note(const LoadMessage &message);
-    void sendTo(const std::string &peer, const LoadMessage &message);
+    void takeDelta(const ShardDelta &delta);
+    bool sendTo(const std::string &peer, const std::vector<std::uint8_t> &bytes);
 
     Gateway &m_gateway;
     Hooks m_hooks;
--- /dev/null
+++ b/src/gateway/shard_delta.cpp
@@ -0,0 +1,96 @@
+#include "gateway/shard_delta.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+bool overlaps(const KeySpan &left, const KeySpan &right) noexcept
+{
+    return left.first <= right.last && right.first <= left.last;
+}
+
+bool coversAllKeys(const std::vector<ShardRange> &ranges) noexcept
+{
+    std::uint32_t expected = 0;
+    for (const ShardRange &range : ranges) {
+        if (range.keys.first != expected)
+            return false;
+        expected = range.keys.last + 1;
+    }
+    return expected == lastKey + 1;
+}
+
+} // namespace
+
+ShardDelta shardDelta(const ShardMap &before, const ShardMap &after, std::uint64_t revision)
+{
+    ShardDelta delta{after.service, after.placer, after.term, before.write,
+                     after.write,   revision,     {}};
+    for (const ShardRange &range : after.ranges) {
+        const ShardRange *known = before.find(range.keys.first);
+        if (known == nullptr || *known != range)
+            delta.changed.push_back(range);
+    }
+    return delta;
+}
+
+std::optional<ShardMap> applyDelta(const ShardMap &map, const ShardDelta &delta)
+{
+    if (map.service != delta.service || map.write != delta.before)
+        return std::nullopt;
+    ShardMap next = map;
+    next.placer = delta.placer;
+    next.term = delta.term;
+    next.write = delta.write;
+    std::erase_if(next.ranges, [&](const ShardRange &range) {
+        return std::ranges::any_of(delta.changed, [&](const ShardRange &changed) {
+            return overlaps(range.keys, changed.keys);
+        });
+    });
+    next.ranges.insert(next.ranges.end(), delta.changed.begin(), delta.changed.end());
+    std::ranges::sort(next.ranges, {}, [](const ShardRange &range) { return range.keys.first; });
+    if (!coversAllKeys(next.ranges))
+        return std::nullopt;
+    return next;
+}
+
+std::vector<std::uint8_t> encodeShardDelta(const ShardDelta &delta)
+{
+    json ranges = json::array();
+    for (const ShardRange &range : delta.changed)
+        ranges.push_back(rangeJson(range));
+    return json::to_cbor(json{{"d", delta.service},
+                              {"placer", delta.placer},
+                              {"term", delta.term},
+                              {"before", delta.before},
+                              {"write", delta.write},
+                              {"revision", delta.revision},
+                              {"ranges", std::move(ranges)}});
+}
+
+Result<ShardDelta> decodeShardDelta(const std::vector<std::uint8_t> &bytes)
+{
+    try {
+        const json root = json::from_cbor(bytes);
+        ShardDelta delta;
+        delta.service = root.at("d").get<std::string>();
+        delta.placer = root.at("placer").get<std::string>();
+        delta.term = root.at("term").get<std::uint64_t>();
+        delta.before = root.at("before").get<std::uint64_t>();
+        delta.write = root.at("write").get<std::uint64_t>();
+        delta.revision = root.at("revision").get<std::uint64_t>();
+        for (const json &item : root.at("ranges"))
+            delta.changed.push_back(rangeOf(item));
+        return delta;
+    } catch (const json::exception &failure) {
+        return Error{ErrorCode::ParseFailed, failure.what(), {}};
+    }
+}
+
+} // namespace yuccaspan::gateway
--- /dev/null
+++ b/src/gateway/shard_delta.hpp
@@ -0,0 +1,39 @@
+/// \file
+/// \brief What one write changed in a shard map, small enough for a datagram.
+#pragma once
+
+#include "gateway/shard_map.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yuccaspan::gateway {
+
+/// \brief The ranges that one write of a shard map changed.
+///
+/// The placer sends it to its peers, which would else each call the store for every write.
+struct ShardDelta
+{
+    std::string service;
+    std::string placer;
+    std::uint64_t term = 0;
+    std::uint64_t before = 0; ///< Write that the delta is based on.
+    std::uint64_t write = 0; ///< Write that it leads to.
+    std::uint64_t revision = 0; ///< Of the store, of that write.
+    std::vector<ShardRange> changed; ///< In order.
+};
+
+/// \brief What leads from one map to the next one of the same service.
+[[nodiscard]] ShardDelta shardDelta(const ShardMap &before, const ShardMap &after,
+                                    std::uint64_t revision);
+/// \brief The map that a delta leads to; nothing if it is not based on that map.
+[[nodiscard]] std::optional<ShardMap> applyDelta(const ShardMap &map, const ShardDelta &delta);
+
+/// \brief Writes a delta as CBOR.
+[[nodiscard]] std::vector<std::uint8_t> encodeShardDelta(const ShardDelta &delta);
+/// \brief Reads a delta.
+[[nodiscard]] Result<ShardDelta> decodeShardDelta(const std::vector<std::uint8_t> &bytes);
+
+} // namespace yuccaspan::gateway
--- a/src/gateway/shard_map.cpp
+++ b/src/gateway/shard_map.cpp
@@ -21,18 +21,6 @@
             value.at(2).get<std::uint64_t>()};
 }
 
-ShardRange rangeOf(const json &value)
-{
-    ShardRange range;
-    range.keys.first = value.at("first").get<std::uint32_t>();
-    range.keys.last = value.at("last").get<std::uint32_t>();
-    if (value.contains("owner"))
-        range.owner = holderOf(value.at("owner"));
-    if (value.contains("next"))
-        range.next = holderOf(value.at("next"));
-    return range;
-}
-
 bool coversAllKeys(const std::vector<ShardRange> &ranges)
 {
     std::uint32_t expected = 0;
@@ -47,6 +35,28 @@
 
 } // namespace
 
+json rangeJson(const ShardRange &range)
+{
+    json item{{"first", range.keys.first}, {"last", range.keys.last}};
+    if (range.owner)
+        item["owner"] = holderJson(*range.owner);
+    if (range.next)
+        item["next"] = holderJson(*range.next);
+    return item;
+}
+
+ShardRange rangeOf(const json &value)
+{
+    ShardRange range;
+    range.keys.first = value.at("first").get<std::uint32_t>();
+    range.keys.last = value.at("last").get<std::uint32_t>();
+    if (value.contains("owner"))
+        range.owner = holderOf(value.at("owner"));
+    if (value.contains("next"))
+        range.next = holderOf(value.at("next"));
+    return range;
+}
+
 const ShardRange *ShardMap::find(std::uint32_t key) const noexcept
 {
     const auto found = std::ranges::lower_bound(
@@ -57,14 +67,8 @@
 std::string encodeShardMap(const ShardMap &map)
 {
     json ranges = json::array();
-    for (const ShardRange &range : map.ranges) {
-        json item{{"first", range.keys.first}, {"last", range.keys.last}};
-        if (range.owner)
-            item["owner"] = holderJson(*range.owner);
-        if (range.next)
-            item["next"] = holderJson(*range.next);
-        ranges.push_back(std::move(item));
-    }
+    for (const ShardRange &range : map.ranges)
+        ranges.push_back(rangeJson(range));
     const json root{{"service", map.service},      {"placer", map.placer},
                     {"term", map.term},            {"write", map.write},
                     {"lastFence", map.lastFence},  {"ranges", std::move(ranges)}};
--- a/src/gateway/shard_map.hpp
+++ b/src/gateway/shard_map.hpp
@@ -4,6 +4,8 @@
 
 #include "yuccaspan/result.hpp"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -78,6 +80,10 @@
     [[nodiscard]] const ShardRange *find(std::uint32_t key) const noexcept;
 };
 
+/// \brief A range as JSON.
+[[nodiscard]] nlohmann::json rangeJson(const ShardRange &range);
+/// \brief Reads a range; throws nlohmann::json::exception where it is malformed.
+[[nodiscard]] ShardRange rangeOf(const nlohmann::json &value);
 /// \brief Writes the map as JSON text.
 [[nodiscard]] std::string encodeShardMap(const ShardMap &map);
 /// \brief Reads a map.
