--- /dev/null
+++ b/tests/gateway/test_placer_lease.cpp
@@ -0,0 +1,133 @@
+#include "gateway/placer_lease.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint start{seconds(100)};
+
+TEST(PlacerLease, roundTrip)
+{
+    const LeaseRecord record{"a", "1", 9};
+    EXPECT_EQ(*decodeLease(encodeLease(record)), record);
+    EXPECT_FALSE(decodeLease("{}"));
+}
+
+TEST(PlacerLease, isTakenAtOnceWhereThereIsNone)
+{
+    PlacerLease lease("a", "1");
+    EXPECT_EQ(lease.step(start), LeaseStep::Look);
+    lease.saw(std::nullopt, 0, start);
+    EXPECT_EQ(lease.step(start), LeaseStep::Take);
+    lease.stored(lease.next(), 5, start);
+    EXPECT_TRUE(lease.held(start + milliseconds(2999)));
+    EXPECT_FALSE(lease.held(start + milliseconds(3000)));
+}
+
+TEST(PlacerLease, waitsForTheLeaseOfAnother)
+{
+    PlacerLease lease("a", "1");
+    lease.saw(LeaseRecord{"b", "1", 4}, 7, start);
+    EXPECT_NE(lease.step(start + milliseconds(2999)), LeaseStep::Take);
+    EXPECT_EQ(lease.step(start + milliseconds(3000)), LeaseStep::Take);
+    lease.saw(LeaseRecord{"b", "1", 5}, 8, start + milliseconds(3000));
+    EXPECT_NE(lease.step(start + milliseconds(5999)), LeaseStep::Take);
+}
+
+/// An answer that is seconds old shows an earlier revision; it must not restart or end the wait.
+TEST(PlacerLease, anOldAnswerChangesNothing)
+{
+    PlacerLease lease("a", "1");
+    lease.saw(LeaseRecord{"b", "1", 5}, 8, start);
+    lease.saw(LeaseRecord{"b", "1", 4}, 7, start + milliseconds(1000));
+    EXPECT_EQ(lease.revision(), 8U);
+    EXPECT_EQ(lease.step(start + milliseconds(3000)), LeaseStep::Take);
+}
+
+TEST(PlacerLease, itsOwnFormerLifeNeedsNoWait)
+{
+    PlacerLease lease("a", "2");
+    lease.saw(LeaseRecord{"a", "1", 5}, 8, start);
+    EXPECT_EQ(lease.step(start), LeaseStep::Take);
+}
+
+TEST(PlacerLease, aLeaseThatWasGivenUpIsFree)
+{
+    PlacerLease lease("a", "1");
+    lease.saw(LeaseRecord{"", "1", 5}, 8, start);
+    EXPECT_EQ(lease.step(start), LeaseStep::Take);
+}
+
+/// Random renewals, lost answers, old reads and late writes: never two holders at a time.
+RC_GTEST_PROP(PlacerLease, HasOneHolder, (std::uint64_t seed))
+{
+    struct Pending
+    {
+        std::size_t instance;
+        LeaseRecord record;
+        std::uint64_t revision;
+        TimePoint sentAt;
+        TimePoint at;
+        bool answered;
+    };
+    std::mt19937_64 random(seed);
+    std::vector<PlacerLease> leases;
+    for (const char *name : {"a", "b", "c"})
+        leases.emplace_back(name, "1");
+    std::optional<LeaseRecord> stored;
+    std::uint64_t revision = 0;
+    std::vector<std::pair<std::optional<LeaseRecord>, std::uint64_t>> history{{stored, revision}};
+    std::vector<Pending> pending;
+    for (TimePoint now = start; now < start + seconds(60); now += milliseconds(50)) {
+        for (std::size_t index = 0; index < leases.size(); ++index) {
+            const LeaseStep step = leases[index].step(now);
+            if (step == LeaseStep::Look && random() % 3 != 0) {
+                const std::size_t back = std::min<std::size_t>(random() % 4, history.size() - 1);
+                const auto &[record, at] = history[history.size() - 1 - back];
+                leases[index].saw(record, at, now);
+            } else if (step == LeaseStep::Take || (step == LeaseStep::Renew && random() % 4 != 0)) {
+                if (step == LeaseStep::Take) {
+                    leases[index].saw(stored, revision, now);
+                    if (leases[index].step(now) != LeaseStep::Take)
+                        continue;
+                }
+                const bool late = random() % 5 == 0;
+                const Duration delay = milliseconds(late ? random() % 4000 : 10);
+                pending.push_back({index, leases[index].next(), leases[index].revision(), now,
+                                   now + delay, !late});
+            }
+        }
+        std::erase_if(pending, [&](const Pending &write) {
+            if (write.at > now)
+                return false;
+            if (write.revision == revision) {
+                stored = write.record;
+                history.emplace_back(stored, ++revision);
+                if (write.answered)
+                    leases[write.instance].stored(write.record, revision, write.sentAt);
+            } else if (write.answered && !leases[write.instance].ours(*stored)) {
+                leases[write.instance].drop();
+                leases[write.instance].saw(stored, revision, now);
+            }
+            return true;
+        });
+        const auto held = std::ranges::count_if(
+            leases, [now](const PlacerLease &lease) { return lease.held(now); });
+        RC_ASSERT(held <= 1);
+    }
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
--- /dev/null
+++ b/tests/gateway/test_target_directory.cpp
@@ -0,0 +1,111 @@
+#include "gateway/target_directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint start{seconds(100)};
+
+TargetEntry entry(const std::string &id, std::int64_t incarnation)
+{
+    TargetEntry out;
+    out.id = id;
+    out.incarnation = incarnation;
+    out.service = "s";
+    out.address = "10.0.0.1:80";
+    out.zone = "a";
+    out.slots = 4;
+    return out;
+}
+
+TEST(TargetDirectory, ignoresAnEntryOfAnEarlierLife)
+{
+    TargetDirectory directory;
+    directory.put(entry("t", 5), start);
+    EXPECT_FALSE(directory.put(entry("t", 4), start));
+    EXPECT_EQ(directory.find("t")->entry.incarnation, 5);
+}
+
+TEST(TargetDirectory, aHeartbeatAloneIsNoChange)
+{
+    TargetDirectory directory;
+    TargetEntry one = entry("t", 5);
+    EXPECT_TRUE(directory.put(one, start));
+    ++one.sequence;
+    EXPECT_FALSE(directory.put(one, start));
+}
+
+TEST(TargetDirectory, drainingAndRemovedTargetsLeave)
+{
+    TargetDirectory directory;
+    TargetEntry one = entry("t", 5);
+    directory.put(one, start);
+    one.draining = true;
+    directory.put(one, start + seconds(1));
+    EXPECT_EQ(directory.find("t")->leavingSince, start + seconds(1));
+    directory.put(entry("u", 6), start);
+    directory.remove("u", start + seconds(2));
+    EXPECT_EQ(directory.find("u")->leavingSince, start + seconds(2));
+    EXPECT_FALSE(directory.usable(*directory.find("u")));
+}
+
+/// Entries that lapsed while the store was away come back within 2 s of its return.
+TEST(TargetDirectory, waitsForEntriesAfterTheStoreWasAway)
+{
+    TargetDirectory directory;
+    directory.put(entry("back", 1), start);
+    directory.put(entry("gone", 2), start);
+    directory.storeAway(start);
+    directory.replaceAll({}, start + milliseconds(100));
+    EXPECT_TRUE(directory.find("back")->ready());
+    directory.put(entry("back", 1), start + milliseconds(1900));
+    EXPECT_FALSE(directory.tick(start + milliseconds(2000)));
+    EXPECT_TRUE(directory.find("gone")->ready());
+    EXPECT_TRUE(directory.tick(start + milliseconds(2500)));
+    EXPECT_TRUE(directory.find("back")->ready());
+    EXPECT_FALSE(directory.find("gone")->ready());
+}
+
+TEST(TargetDirectory, evacuatedZonesAreNotUsable)
+{
+    TargetDirectory directory;
+    directory.put(entry("t", 5), start);
+    directory.setEvacuated({"a"}, start + seconds(1));
+    EXPECT_FALSE(directory.usable(*directory.find("t")));
+    EXPECT_EQ(directory.unwantedSince(*directory.find("t")), start + seconds(1));
+    directory.setEvacuated({"a", "b"}, start + seconds(2));
+    EXPECT_EQ(directory.unwantedSince(*directory.find("t")), start + seconds(1));
+    directory.setEvacuated({}, start + seconds(3));
+    EXPECT_TRUE(directory.usable(*directory.find("t")));
+}
+
+TEST(TargetDirectory, theLatestTargetAtAnAddressIsFound)
+{
+    TargetDirectory directory;
+    directory.put(entry("old", 5), start);
+    directory.put(entry("new", 6), start);
+    EXPECT_EQ(directory.findAddress("10.0.0.1:80")->entry.id, "new");
+    EXPECT_EQ(directory.findAddress("10.0.0.2:80"), nullptr);
+}
+
+TEST(TargetDirectory, isColdForWhatItsEntrySays)
+{
+    TargetDirectory directory;
+    TargetEntry one = entry("t", 5);
+    one.warmupLeft = seconds(3);
+    directory.put(one, start);
+    EXPECT_TRUE(directory.find("t")->cold(start + seconds(2)));
+    EXPECT_FALSE(directory.find("t")->cold(start + seconds(3)));
+    one.warmupLeft = seconds(2);
+    directory.put(one, start + seconds(10));
+    EXPECT_TRUE(directory.find("t")->cold(start + seconds(11)));
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
--- /dev/null
+++ b/tests/gateway/test_target_gate.cpp
@@ -0,0 +1,135 @@
+#include "gateway/repeat_budget.hpp"
+#include "gateway/target_gate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint start{seconds(100)};
+
+TEST(TargetGate, useItsSlotsAlone)
+{
+    TargetGate gate;
+    gate.configure(6, 1);
+    int sent = 0;
+    while (gate.hasRoom(start) && sent < 100) {
+        gate.started();
+        ++sent;
+    }
+    EXPECT_GE(sent, 6);
+    EXPECT_LE(sent, 9);
+}
+
+/// Load pattern: several instances send to one small target at once. All together stay within its
+/// slots and a third more, and its queue is not reached by all of them.
+TEST(TargetGate, instancesShareASmallTarget)
+{
+    std::vector<TargetGate> gates(4);
+    std::uint32_t atTarget = 0;
+    for (TargetGate &gate : gates)
+        gate.configure(6, 4);
+    for (int round = 0; round < 50; ++round) {
+        for (TargetGate &gate : gates) {
+            if (!gate.hasRoom(start))
+                continue;
+            gate.started();
+            ++atTarget;
+        }
+        for (TargetGate &gate : gates) {
+            if (gate.inFlight() == 0)
+                continue;
+            --atTarget;
+            gate.finished(AttemptEnd::Answered, milliseconds(100),
+                          LoadReport{std::min(atTarget, 6U), atTarget > 6 ? atTarget - 6 : 0, 6, 1},
+                          start);
+            if (gate.hasRoom(start)) {
+                gate.started();
+                ++atTarget;
+            }
+        }
+        ASSERT_LE(atTarget, 12U);
+    }
+    EXPECT_GE(atTarget, 6U);
+}
+
+TEST(TargetGate, pausesAfterTheTargetSaidThatItIsFull)
+{
+    TargetGate gate;
+    gate.configure(6, 1);
+    gate.started();
+    gate.finished(AttemptEnd::Shed, milliseconds(5), std::nullopt, start);
+    EXPECT_FALSE(gate.hasRoom(start));
+    EXPECT_TRUE(gate.hasRoom(start + milliseconds(50)));
+}
+
+TEST(TargetGate, isSuspectAfterFailuresInARow)
+{
+    TargetGate gate;
+    gate.configure(6, 1);
+    for (int failure = 0; failure < 3; ++failure) {
+        EXPECT_FALSE(gate.suspect(start));
+        gate.started();
+        gate.finished(AttemptEnd::Failed, milliseconds(5), std::nullopt, start);
+    }
+    EXPECT_TRUE(gate.suspect(start));
+    EXPECT_FALSE(gate.suspect(start + seconds(1)));
+}
+
+/// A cold target of 11 requests a second gets 1.5 times that and 5 more in any second at most, from
+/// all instances together.
+TEST(TargetGate, coldTargetsAreSpared)
+{
+    constexpr std::uint32_t instances = 4;
+    constexpr double coldRate = 11;
+    std::vector<TargetGate> gates(instances);
+    for (TargetGate &gate : gates)
+        gate.setColdRate(coldRate * 1.1 / instances);
+    std::vector<TimePoint> sent;
+    for (TimePoint now = start; now < start + seconds(6); now += milliseconds(5)) {
+        for (TargetGate &gate : gates) {
+            if (gate.takeCold(now))
+                sent.push_back(now);
+        }
+    }
+    for (const TimePoint &from : sent) {
+        const auto inSecond = std::ranges::count_if(
+            sent, [&](TimePoint at) { return at >= from && at < from + seconds(1); });
+        ASSERT_LE(inSecond, coldRate * 1.5 + 5);
+    }
+    EXPECT_GE(sent.size(), 60U);
+}
+
+/// Load pattern: everything fails. The repeats of all instances stay within the shared budget.
+TEST(RepeatBudget, holdsForAllInstancesTogether)
+{
+    constexpr std::uint32_t instances = 4;
+    constexpr double ratio = 0.2;
+    constexpr double slack = 56;
+    std::vector<RepeatBudget> budgets(instances);
+    for (RepeatBudget &budget : budgets)
+        budget.configure(ratio, slack, instances);
+    int requests = 0;
+    int repeats = 0;
+    for (int round = 0; round < 1000; ++round) {
+        for (RepeatBudget &budget : budgets) {
+            budget.first();
+            ++requests;
+            repeats += budget.take() ? 1 : 0;
+            repeats += budget.take() ? 1 : 0;
+        }
+    }
+    EXPECT_LE(repeats, ratio * requests + slack);
+    EXPECT_GE(repeats, 0.1 * requests);
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
--- /dev/null
+++ b/tests/platform/test_entry_codec.cpp
@@ -0,0 +1,136 @@
+#include "entry_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace yuccaspan::platform {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+gateway::StoredObject object(const json &body)
+{
+    gateway::StoredObject out;
+    out.name = "t1";
+    out.body = std::make_shared<const json>(body);
+    return out;
+}
+
+json targetEntry()
+{
+    return {{"address", "10.0.0.9:8080"},
+            {"born", 1784521111000},
+            {"info",
+             {{"service", "s"}, {"version", "v1"}, {"zone", "a"}, {"max_concurrency", 6}}},
+            {"status", {{"state", "ready"}, {"sequence", 4}, {"warmup_left_s", 1.5}}}};
+}
+
+TEST(EntryCodec, readsATarget)
+{
+    const EntryCodec codec;
+    for (const json &body : {targetEntry(), json{{"spec", targetEntry()}}}) {
+        const auto entry = codec.target(object(body));
+        ASSERT_TRUE(entry) << entry.error();
+        EXPECT_EQ(entry->id, "t1");
+        EXPECT_EQ(entry->service, "s");
+        EXPECT_EQ(entry->zone, "a");
+        EXPECT_EQ(entry->slots, 6U);
+        EXPECT_EQ(entry->incarnation, 1784521111000);
+        EXPECT_EQ(entry->warmupLeft, milliseconds(1500));
+        EXPECT_FALSE(entry->draining);
+    }
+}
+
+/// An entry of another writer names no target to use and stops nothing.
+TEST(EntryCodec, refusesForeignAndDamagedEntries)
+{
+    const EntryCodec codec;
+    std::vector<json> damaged;
+    for (const char *field : {"/address", "/born", "/info", "/info/service", "/info/zone",
+                              "/info/max_concurrency", "/status/state", "/status/sequence"}) {
+        json missing = targetEntry();
+        const json::json_pointer pointer(field);
+        missing.at(pointer.parent_pointer()).erase(pointer.back());
+        damaged.push_back(missing);
+        json otherType = targetEntry();
+        otherType[pointer] = json::array({1});
+        damaged.push_back(otherType);
+    }
+    json state = targetEntry();
+    state["status"]["state"] = "asleep";
+    damaged.push_back(state);
+    json address = targetEntry();
+    address["address"] = "10.0.0.9";
+    damaged.push_back(address);
+    damaged.push_back(json("text"));
+    damaged.push_back(json(nullptr));
+    for (const json &body : damaged)
+        EXPECT_FALSE(codec.target(object(body))) << body;
+}
+
+json desiredState()
+{
+    return {{"spec",
+             {{"version", "0000000c"},
+              {"routes",
+               {{{"name", "r1"},
+                 {"host", "h"},
+                 {"path_prefix", "/a/"},
+                 {"route_type", "idempotent"},
+                 {"timeout_s", 1.2},
+                 {"target_latency_s", 0.5},
+                 {"priority", 2},
+                 {"max_attempts", 2},
+                 {"backends",
+                  {{{"service", "s"}, {"weight", 90}}, {{"service", "u"}, {"weight", 10}}}}},
+                {{"name", "r2"},
+                 {"host", "h"},
+                 {"path_prefix", "/b/"},
+                 {"route_type", "non_idempotent"},
+                 {"timeout_s", 1},
+                 {"service", "s"}}}},
+              {"services",
+               {{{"name", "s"},
+                 {"max_connections", 110},
+                 {"warmup_s", 3.0},
+                 {"warmup_per_s", 11.0},
+                 {"sharded", true}},
+                {{"name", "u"}}}},
+              {"limits", {{"max_header_bytes", 1000}, {"idle_timeout_s", 15}}}}}};
+}
+
+TEST(EntryCodec, readsADesiredState)
+{
+    const auto state = EntryCodec().desiredState(object(desiredState()));
+    ASSERT_TRUE(state) << state.error();
+    EXPECT_EQ(state->version, 12U);
+    ASSERT_EQ(state->routes.size(), 2U);
+    EXPECT_TRUE(state->routes[0].idempotent);
+    EXPECT_EQ(state->routes[0].timeout, milliseconds(1200));
+    EXPECT_EQ(state->routes[0].services.size(), 2U);
+    EXPECT_EQ(state->routes[0].services[0].weight, 90U);
+    EXPECT_FALSE(state->routes[1].idempotent);
+    EXPECT_EQ(state->routes[1].maxAttempts, 1U);
+    EXPECT_TRUE(state->findService("s")->keyed);
+    EXPECT_FALSE(state->findService("u")->keyed);
+    EXPECT_EQ(state->limits.headerBytes, 1000U);
+    EXPECT_EQ(state->limits.idleTimeout, seconds(15));
+}
+
+TEST(EntryCodec, refusesADamagedDesiredState)
+{
+    json body = desiredState();
+    body["spec"]["version"] = "xyz";
+    EXPECT_FALSE(EntryCodec().desiredState(object(body)));
+    body = desiredState();
+    body["spec"]["routes"][1].erase("service");
+    EXPECT_FALSE(EntryCodec().desiredState(object(body)));
+    EXPECT_FALSE(EntryCodec().desiredState(object(json::object())));
+}
+
+} // namespace
+
+} // namespace yuccaspan::platform
--- /dev/null
+++ b/tests/platform/test_target_protocol.cpp
@@ -0,0 +1,112 @@
+#include "node_settings.hpp"
+#include "target_protocol.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace yuccaspan::platform {
+
+namespace {
+
+using gateway::HttpRequest;
+using gateway::HttpResponse;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace http = gateway::http;
+
+TEST(TargetProtocol, readsWhatACallerSays)
+{
+    HttpRequest request;
+    request.set("X-Request-Id", "abc");
+    request.set("X-Deadline-Ms", "2000");
+    request.set("X-Shard-Key", "65535");
+    const auto facts = HttpTargetProtocol().readCaller(request);
+    EXPECT_EQ(facts.requestId, "abc");
+    EXPECT_EQ(facts.deadline, seconds(2));
+    EXPECT_EQ(facts.key, 65535U);
+    request.set("X-Shard-Key", "65536");
+    request.set("X-Deadline-Ms", "soon");
+    EXPECT_FALSE(HttpTargetProtocol().readCaller(request).key);
+    EXPECT_FALSE(HttpTargetProtocol().readCaller(request).deadline);
+}
+
+TEST(TargetProtocol, addressesARequest)
+{
+    HttpRequest request;
+    request.set("X-Deadline-Ms", "2000");
+    HttpTargetProtocol().address(request, milliseconds(1234), "t1");
+    EXPECT_EQ(request["X-Deadline-Ms"], "1234");
+    EXPECT_EQ(request["X-Expected-Instance"], "t1");
+}
+
+TEST(TargetProtocol, readsWhatATargetSays)
+{
+    HttpResponse response(http::status::service_unavailable, 11);
+    response.set("X-Request-Id", "abc");
+    response.set("X-Not-Executed", "1");
+    response.set("X-Server-Load", "3,0,8,130");
+    auto facts = HttpTargetProtocol().readAnswer(response);
+    EXPECT_TRUE(facts.notExecuted);
+    EXPECT_FALSE(facts.signedByTarget);
+    ASSERT_TRUE(facts.load);
+    EXPECT_EQ(facts.load->running, 3U);
+    EXPECT_EQ(facts.load->slots, 8U);
+    EXPECT_DOUBLE_EQ(facts.load->slowness, 1.3);
+    response.set("X-Server-Load", "3,0");
+    EXPECT_FALSE(HttpTargetProtocol().readAnswer(response).load);
+    response.set("X-Server-Load", "3,-1,8");
+    EXPECT_FALSE(HttpTargetProtocol().readAnswer(response).load);
+}
+
+TEST(TargetProtocol, ordersCarryTokenAndHandover)
+{
+    gateway::ShardOrder order;
+    order.keys = {4096, 8191};
+    order.holder = {"t1", 5, 12};
+    order.address = "10.0.0.9:8080";
+    order.hold = seconds(4);
+    order.handover = "5c0e";
+    const HttpRequest grant = HttpTargetProtocol().order(order);
+    EXPECT_EQ(grant.target(), "/grant");
+    EXPECT_EQ(grant["X-Expected-Instance"], "t1");
+    EXPECT_EQ(nlohmann::json::parse(grant.body()),
+              (nlohmann::json{{"from", 4096},
+                              {"to", 8191},
+                              {"fence", 12},
+                              {"hold_s", 4.0},
+                              {"handover", "5c0e"}}));
+    order.kind = gateway::OrderKind::Release;
+    const HttpRequest release = HttpTargetProtocol().order(order);
+    EXPECT_EQ(release.target(), "/release");
+    EXPECT_EQ(nlohmann::json::parse(release.body()),
+              (nlohmann::json{{"from", 4096}, {"to", 8191}, {"fence", 12}}));
+}
+
+constexpr const char *settingsText = R"({"name": "a", "zone": "z", "callers": "10.0.0.1:80",
+    "readiness": "10.0.0.1:81", "peers": "10.0.0.1:82", "store": "10.0.0.2:83",
+    "drainWithinS": 2.5, "unknown": 1})";
+
+TEST(NodeSettings, areRead)
+{
+    const auto settings = readNodeSettings(settingsText);
+    ASSERT_TRUE(settings) << settings.error();
+    EXPECT_EQ(settings->gateway.drainWithin, milliseconds(2500));
+    EXPECT_EQ(settings->storeAddress, "10.0.0.2:83");
+}
+
+TEST(NodeSettings, areChecked)
+{
+    auto root = nlohmann::json::parse(settingsText);
+    for (const char *field : {"name", "zone", "callers", "readiness", "peers", "store"}) {
+        auto damaged = root;
+        damaged.erase(field);
+        EXPECT_FALSE(readNodeSettings(damaged.dump())) << field;
+    }
+    root["store"] = "10.0.0.2";
+    EXPECT_EQ(readNodeSettings(root.dump()).error().place.pointer, "/store");
+    EXPECT_FALSE(readNodeSettings("{"));
+}
+
+} // namespace
+
+} // namespace yuccaspan::platform
