--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -26,9 +26,10 @@
 
 /// Fields that concern one connection alone.
 constexpr std::array<http::field, 8> connectionFields{
-    http::field::connection, http::field::keep_alive,        http::field::proxy_connection,
-    http::field::te,         http::field::transfer_encoding, http::field::upgrade,
-    http::field::trailer,    http::field::expect};
+    http::field::connection,        http::field::keep_alive,
+    http::field::proxy_connection,  http::field::te,
+    http::field::transfer_encoding, http::field::upgrade,
+    http::field::trailer,           http::field::expect};
 
 void eraseConnectionFields(http::fields &fields)
 {
@@ -82,8 +83,7 @@
 
     asio::awaitable<bool> read(Parser &parser)
     {
-        const CallerLimits limits =
-            m_gateway.desired ? m_gateway.desired->limits : CallerLimits{};
+        const CallerLimits limits = m_gateway.desired ? m_gateway.desired->limits : CallerLimits{};
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         if (m_buffer.size() == 0 && !co_await awaitBytes(limits.idleTimeout))
@@ -127,7 +127,8 @@
             status = http::status::request_header_fields_too_large;
         else if (failure == http::error::body_limit)
             status = http::status::payload_too_large;
-        const bool malformed = failure.category() == make_error_code(http::error::bad_method).category()
+        const bool malformed =
+            failure.category() == make_error_code(http::error::bad_method).category()
             && failure != http::error::end_of_stream && failure != http::error::partial_message;
         if (!malformed)
             co_return false;
@@ -167,8 +168,8 @@
         const std::string_view path = target.substr(0, target.find('?'));
         flow->route = m_gateway.routes.find(flow->request[http::field::host], path);
         if (flow->route == nullptr) {
-            co_return FlowEnd{EndReason::NoRoute, ownAnswer(m_gateway, http::status::not_found,
-                                                            EndReason::NoRoute)};
+            co_return FlowEnd{EndReason::NoRoute,
+                              ownAnswer(m_gateway, http::status::not_found, EndReason::NoRoute)};
         }
         Duration allowed = flow->facts.deadline.value_or(defaultDeadline);
         if (flow->route->timeout > Duration::zero())
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -110,8 +110,7 @@
         {ObjectKind::Evacuations, &Control::allEvacuations, &Control::changeEvacuation,
          gatherSettings},
         {ObjectKind::ShardMaps, &Control::allShardMaps, &Control::changeShardMap, gatherMaps},
-        {ObjectKind::Instances, &Control::allInstances, &Control::changeInstance,
-         gatherInstances},
+        {ObjectKind::Instances, &Control::allInstances, &Control::changeInstance, gatherInstances},
     }};
     for (const Follower &follower : followers)
         asio::co_spawn(m_gateway.loop, follow(follower), asio::detached);
@@ -536,8 +535,7 @@
     PlacerTiming timing;
     timing.hold = std::min(timing.hold, m_gateway.options.holdMost);
     placing.revision = found ? found->revision : 0;
-    placing.placer =
-        ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
+    placing.placer = ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
     placing.placer->adopt(stored, m_gateway.now());
     m_gateway.log.write("placement", "adopted",
                         {{"service", service},
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -52,8 +52,7 @@
 
 void GatewayMetrics::request(const std::string &route, std::string_view outcome, Duration latency)
 {
-    prometheus::Counter *&counter =
-        m_state->requestCounters[{route, std::string(outcome)}];
+    prometheus::Counter *&counter = m_state->requestCounters[{route, std::string(outcome)}];
     if (counter == nullptr) {
         counter = &m_state->requests.Add({{"route", route}, {"outcome", std::string(outcome)}});
     }
@@ -69,8 +68,8 @@
     prometheus::Counter *&counter =
         m_state->eventCounters[{std::string(event), std::string(label)}];
     if (counter == nullptr) {
-        counter = &m_state->events.Add(
-            {{"event", std::string(event)}, {"label", std::string(label)}});
+        counter =
+            &m_state->events.Add({{"event", std::string(event)}, {"label", std::string(label)}});
     }
     counter->Increment();
 }
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -59,9 +59,8 @@
     if (!failure)
         acceptor.listen(backlog, failure);
     if (failure) {
-        return Error{ErrorCode::Unavailable,
-                     "cannot listen at " + address + ": " + failure.message(),
-                     {}};
+        return Error{
+            ErrorCode::Unavailable, "cannot listen at " + address + ": " + failure.message(), {}};
     }
     return ok();
 }
@@ -126,15 +125,13 @@
     while (true) {
         HttpRequest request;
         stream.expires_after(questionIdle);
-        const auto [failure, bytes] =
-            co_await http::async_read(stream, buffer, request, asTuple);
+        const auto [failure, bytes] = co_await http::async_read(stream, buffer, request, asTuple);
         if (failure)
             co_return;
         HttpResponse response = answerQuestion(request);
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
-        const auto [writeFailure, written] =
-            co_await http::async_write(stream, response, asTuple);
+        const auto [writeFailure, written] = co_await http::async_write(stream, response, asTuple);
         if (writeFailure || !response.keep_alive())
             co_return;
     }
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -146,8 +146,8 @@
 void ClientPool::giveBack(std::shared_ptr<ClientConnection> connection,
                           const HttpResponse &response)
 {
-    const bool reusable = response.keep_alive() && connection->buffer.size() == 0
-        && m_idle.size() < maxIdle;
+    const bool reusable =
+        response.keep_alive() && connection->buffer.size() == 0 && m_idle.size() < maxIdle;
     if (!reusable) {
         connection->close();
         return;
--- a/src/gateway/load_message.cpp
+++ b/src/gateway/load_message.cpp
@@ -48,8 +48,7 @@
                 const auto bucket = row.at(index).get<std::uint32_t>();
                 if (bucket >= KeyLoad::buckets)
                     return Error{ErrorCode::SchemaViolation, "no such bucket", {}};
-                message.addWork(service, bucket,
-                                row.at(index + 1).get<double>() / milliseconds);
+                message.addWork(service, bucket, row.at(index + 1).get<double>() / milliseconds);
             }
         }
         for (const auto &[target, speed] : root.at("s").items()) {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -220,8 +220,8 @@
             ++m_flow->sends;
             m_tried.push_back(m_flow->target);
             m_mayHaveRun = true;
-            m_lastFailure = attempt.call.end == CallEnd::Broken ? EndReason::Broken
-                                                                : EndReason::TimedOut;
+            m_lastFailure =
+                attempt.call.end == CallEnd::Broken ? EndReason::Broken : EndReason::TimedOut;
             if (m_flow->route->idempotent)
                 return std::nullopt;
             return ended(m_lastFailure, {});
--- a/src/gateway/shard_map.cpp
+++ b/src/gateway/shard_map.cpp
@@ -69,9 +69,9 @@
     json ranges = json::array();
     for (const ShardRange &range : map.ranges)
         ranges.push_back(rangeJson(range));
-    const json root{{"service", map.service},      {"placer", map.placer},
-                    {"term", map.term},            {"write", map.write},
-                    {"lastFence", map.lastFence},  {"ranges", std::move(ranges)}};
+    const json root{{"service", map.service},     {"placer", map.placer},
+                    {"term", map.term},           {"write", map.write},
+                    {"lastFence", map.lastFence}, {"ranges", std::move(ranges)}};
     return root.dump();
 }
 
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -41,7 +41,8 @@
 constexpr Duration spreadEvery = std::chrono::milliseconds(500);
 /// Load of the busiest target over the mean that starts a move.
 constexpr double spreadAbove = 1.5;
-/// Work beyond its part under which a target needs no relief, in slots: the load is known no better.
+/// Work beyond its part under which a target needs no relief, in slots: the load is known no
+/// better.
 constexpr double leastExcess = 1.5;
 /// Part of all slots in use up to which fast targets are preferred in full.
 constexpr double roomyLoad = 0.35;
@@ -228,9 +229,8 @@
         work += standing.work;
         capacity += standing.slots / standing.slowness;
     }
-    const double used = std::clamp((work / std::max(capacity, 0.1) - roomyLoad)
-                                       / (fullLoad - roomyLoad),
-                                   0.0, 1.0);
+    const double used =
+        std::clamp((work / std::max(capacity, 0.1) - roomyLoad) / (fullLoad - roomyLoad), 0.0, 1.0);
     const double exponent = roomyExponent + used * (1.0 - roomyExponent);
     for (auto &[id, standing] : standings)
         standing.capacity = std::max(standing.slots / std::pow(standing.slowness, exponent), 0.1);
@@ -352,7 +352,8 @@
     const bool manyRanges = m_slots.size() > wantedRangesPerTarget * standings.size();
     const auto byWork = static_cast<std::size_t>(std::ceil(work / workPerPiece));
     const std::size_t most = manyRanges ? 1 : maxPieces;
-    return std::clamp<std::size_t>(byWork, 1, std::min(most, std::max<std::size_t>(standings.size(), 1)));
+    return std::clamp<std::size_t>(byWork, 1,
+                                   std::min(most, std::max<std::size_t>(standings.size(), 1)));
 }
 
 bool ShardPlacer::hasEnded(const Holder &holder, const TargetDirectory &directory) const
@@ -428,7 +429,8 @@
                             TimePoint now)
 {
     for (auto &[id, standing] : standings) {
-        if (standing.keys != 0 || standing.cold || movesUnderWay() >= maxBalanceMoves(standings.size()))
+        if (standing.keys != 0 || standing.cold
+            || movesUnderWay() >= maxBalanceMoves(standings.size()))
             continue;
         // From the target with the most work for its size; by keys while there is no work.
         std::optional<std::size_t> donor;
@@ -442,7 +444,8 @@
             if (owner == standings.end())
                 continue;
             constexpr double perKey = 1e-6;
-            const double share = view.load.rate(slot.range.keys, now) + perKey * slot.range.keys.size();
+            const double share =
+                view.load.rate(slot.range.keys, now) + perKey * slot.range.keys.size();
             const double score = owner->second.load() + share / owner->second.capacity;
             if (score > most) {
                 most = score;
@@ -727,7 +730,8 @@
             const bool refenced = slot.range.refencing();
             slot.range.owner = std::exchange(slot.range.next, std::nullopt);
             slot.holdUntil = std::max(slot.nextHoldUntil, refenced ? slot.holdUntil : TimePoint{});
-            slot.doubtUntil = std::max(slot.nextDoubtUntil, refenced ? slot.doubtUntil : TimePoint{});
+            slot.doubtUntil =
+                std::max(slot.nextDoubtUntil, refenced ? slot.doubtUntil : TimePoint{});
             slot.released = false;
             slot.silent = false;
             slot.handover.clear();
@@ -741,12 +745,10 @@
         if (until == flight.holdAfter)
             until = flight.holdBefore;
         break;
-    case OrderOutcome::NoAnswer:
-        {
-            TimePoint &doubt = toNext ? slot.nextDoubtUntil : slot.doubtUntil;
-            doubt = std::max(doubt, flight.holdAfter);
-        }
-        break;
+    case OrderOutcome::NoAnswer: {
+        TimePoint &doubt = toNext ? slot.nextDoubtUntil : slot.doubtUntil;
+        doubt = std::max(doubt, flight.holdAfter);
+    } break;
     case OrderOutcome::Refused:
         break;
     }
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -77,8 +77,8 @@
     flow.mapWrite = known->second.map.write;
     if (range->next && !range->refencing()) {
         const auto since = known->second.movingSince.find(range->keys.first);
-        const bool fresh = since != known->second.movingSince.end()
-            && gateway.now() - since->second < longestMove;
+        const bool fresh =
+            since != known->second.movingSince.end() && gateway.now() - since->second < longestMove;
         if (!fresh)
             return reject(EndReason::KeyMoving, ownerLostPause);
         const Target *next = gateway.directory.find(range->next->target);
@@ -91,6 +91,7 @@
         return reject(EndReason::NoOwner, ownerLostPause);
     const std::shared_ptr<LiveTarget> target = gateway.liveTarget(*owner);
     flow.fence = range->owner->fence;
+    flow.target = owner->entry.id;
     if (mustEnd(gateway, *owner))
         return {Kind::Wait, target, EndReason::OwnerLeaves, {}, safetyLook};
     const TimePoint now = gateway.now();
--- a/src/gateway/target_directory.cpp
+++ b/src/gateway/target_directory.cpp
@@ -123,8 +123,7 @@
     const Target *latest = nullptr;
     for (const auto &[id, target] : m_targets) {
         const bool here = target.listed && target.entry.address == address;
-        if (here
-            && (latest == nullptr || latest->entry.incarnation < target.entry.incarnation))
+        if (here && (latest == nullptr || latest->entry.incarnation < target.entry.incarnation))
             latest = &target;
     }
     return latest;
--- a/src/gateway/waiting_lane.cpp
+++ b/src/gateway/waiting_lane.cpp
@@ -44,9 +44,8 @@
 std::size_t WaitingLane::ahead(const Urgency &urgency, TimePoint now) const
 {
     const std::uint32_t own = rank(urgency, now);
-    return static_cast<std::size_t>(std::ranges::count_if(m_waiters, [&](const Waiter *waiter) {
-        return rank(waiter->urgency(), now) <= own;
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_waiters, [&](const Waiter *waiter) { return rank(waiter->urgency(), now) <= own; }));
 }
 
 } // namespace yuccaspan::gateway
--- a/tests/gateway/placer_world.cpp
+++ b/tests/gateway/placer_world.cpp
@@ -71,8 +71,8 @@
         const double seconds = std::chrono::duration<double>(stepSpan).count();
         constexpr int parts = 8;
         for (int part = 0; part < parts; ++part) {
-            const auto key = load.keys.first
-                + static_cast<std::uint32_t>(m_random() % load.keys.size());
+            const auto key =
+                load.keys.first + static_cast<std::uint32_t>(m_random() % load.keys.size());
             m_load.add(key, load.slotsBusy * seconds / parts, m_now);
         }
     }
@@ -216,8 +216,8 @@
             continue;
         const bool done = target != nullptr;
         m_answers.push_back({m_now + (done ? wayThere : message.order.answerWithin),
-                             message.order.id,
-                             done ? OrderOutcome::Done : OrderOutcome::NoAnswer, message.placer});
+                             message.order.id, done ? OrderOutcome::Done : OrderOutcome::NoAnswer,
+                             message.placer});
     }
     for (std::size_t index = 0; index < m_answers.size();) {
         if (m_answers[index].at > m_now) {
@@ -246,8 +246,7 @@
         m_writing.reset();
         m_placer->writeDone(m_now);
     }
-    const PlacementView view{m_directory, m_load,
-                             [](const Target &) { return 1.0; }};
+    const PlacementView view{m_directory, m_load, [](const Target &) { return 1.0; }};
     m_directory.tick(m_now);
     PlacerOutput out = m_placer->tick(view, m_now);
     if (out.write)
--- a/tests/gateway/placer_world.hpp
+++ b/tests/gateway/placer_world.hpp
@@ -18,7 +18,8 @@
 struct WorldFaults
 {
     std::uint32_t lostAnswer = 0; ///< A grant is applied and its answer is lost.
-    std::uint32_t lateGrant = 0; ///< A grant is applied 2 to 5 s later; its time counts from arrival.
+    std::uint32_t lateGrant =
+        0; ///< A grant is applied 2 to 5 s later; its time counts from arrival.
     std::uint32_t notSent = 0; ///< An order does not leave the placer.
     std::uint32_t crash = 0; ///< A target crashes, in each step; another life follows.
     std::uint32_t drain = 0; ///< A target drains, in each step.
@@ -43,7 +44,10 @@
     /// \brief Keys that are sampled.
     [[nodiscard]] static std::size_t sampledKeys() noexcept;
     /// \brief Ranges of the stored record.
-    [[nodiscard]] std::size_t ranges() const noexcept { return m_stored ? m_stored->ranges.size() : 0; }
+    [[nodiscard]] std::size_t ranges() const noexcept
+    {
+        return m_stored ? m_stored->ranges.size() : 0;
+    }
     /// \brief Target that holds the key, or empty.
     [[nodiscard]] std::string holderOf(std::uint32_t key) const;
     /// \brief Adds work on keys, as requests would.
@@ -60,7 +64,10 @@
     [[nodiscard]] TimePoint now() const noexcept { return m_now; }
     /// \brief The stored record and the targets as text, for a failed run.
     [[nodiscard]] std::string describe() const;
-    [[nodiscard]] std::string targetId(std::size_t index) const { return m_targets[index].entry.id; }
+    [[nodiscard]] std::string targetId(std::size_t index) const
+    {
+        return m_targets[index].entry.id;
+    }
 
 private:
     struct Grant
--- a/tests/gateway/test_waiting_lane.cpp
+++ b/tests/gateway/test_waiting_lane.cpp
@@ -75,7 +75,8 @@
         for (TimePoint now = start; now < start + std::chrono::seconds(20); now += work) {
             for (; nextArrival <= now; nextArrival += gap) {
                 const TimePoint until = naive ? TimePoint::max() : nextArrival + target - work;
-                all.push_back(std::make_unique<Recorded>(int(all.size()), Urgency{0, until}, order));
+                all.push_back(
+                    std::make_unique<Recorded>(int(all.size()), Urgency{0, until}, order));
                 arrived.push_back(nextArrival);
                 places.push_back(lane.add(*all.back()));
             }
--- a/tests/platform/test_entry_codec.cpp
+++ b/tests/platform/test_entry_codec.cpp
@@ -23,8 +23,7 @@
 {
     return {{"address", "10.0.0.9:8080"},
             {"born", 1784521111000},
-            {"info",
-             {{"service", "s"}, {"version", "v1"}, {"zone", "a"}, {"max_concurrency", 6}}},
+            {"info", {{"service", "s"}, {"version", "v1"}, {"zone", "a"}, {"max_concurrency", 6}}},
             {"status", {{"state", "ready"}, {"sequence", 4}, {"warmup_left_s", 1.5}}}};
 }
 
--- a/tests/platform/test_target_protocol.cpp
+++ b/tests/platform/test_target_protocol.cpp
@@ -69,12 +69,10 @@
     const HttpRequest grant = HttpTargetProtocol().order(order);
     EXPECT_EQ(grant.target(), "/grant");
     EXPECT_EQ(grant["X-Expected-Instance"], "t1");
-    EXPECT_EQ(nlohmann::json::parse(grant.body()),
-              (nlohmann::json{{"from", 4096},
-                              {"to", 8191},
-                              {"fence", 12},
-                              {"hold_s", 4.0},
-                              {"handover", "5c0e"}}));
+    EXPECT_EQ(
+        nlohmann::json::parse(grant.body()),
+        (nlohmann::json{
+            {"from", 4096}, {"to", 8191}, {"fence", 12}, {"hold_s", 4.0}, {"handover", "5c0e"}}));
     order.kind = gateway::OrderKind::Release;
     const HttpRequest release = HttpTargetProtocol().order(order);
     EXPECT_EQ(release.target(), "/release");
