Changes of targets gather longer where there are many instances

Change: 0.1 s and 9 ms an instance, 0.35 s at most; sending to a leaving target ends 0.6 s before its bound.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -20,7 +20,11 @@
 /// A desired state is in force everywhere within 2 s of its acknowledgement.
 constexpr Duration gatherSettings = std::chrono::milliseconds(100);
 /// A leaving target gets nothing after 2 s, and its keys take a part of that to move.
-constexpr Duration gatherTargets = std::chrono::milliseconds(200);
+constexpr Duration gatherTargets = std::chrono::milliseconds(100);
+/// Each instance makes these calls, so all together make no more where there are many; the bound
+/// of 2 s allows no longer pause than the most.
+constexpr Duration gatherPerInstance = std::chrono::milliseconds(9);
+constexpr Duration mostGather = std::chrono::milliseconds(350);
 /// The placer tells its peers of each write; the store is for those that it did not reach.
 constexpr Duration gatherMaps = std::chrono::milliseconds(700);
 /// The number of instances only divides budgets.
@@ -76,7 +80,7 @@
     hooks.storeAway = [this] { return m_storeAway; };
     hooks.state = [this] { return sharedState(); };
     hooks.settings = [this](const StoredObject &object) { changeSettings(object); };
-    hooks.targets = [this](std::vector<TargetEntry> entries, std::uint64_t revision) {
+    hooks.targets = [this](const std::vector<TargetEntry> &entries, std::uint64_t revision) {
         m_revisions[ObjectKind::Targets] = revision;
         takeTargets(entries);
     };
@@ -188,7 +192,7 @@
             for (const StoredObject &object : changes->objects)
                 (this->*follower.change)(object);
             if (!changes->objects.empty())
-                co_await pause(follower.gather);
+                co_await pause(gatherFor(follower));
             continue;
         }
         if (changes.error().code == ErrorCode::LimitExceeded) {
@@ -204,6 +208,13 @@
     }
 }
 
+Duration Control::gatherFor(const Follower &follower) const noexcept
+{
+    if (follower.kind != ObjectKind::Targets)
+        return follower.gather;
+    return std::min(mostGather, follower.gather + gatherPerInstance * m_gateway.instances);
+}
+
 asio::awaitable<void> Control::registerInstance()
 {
     const nlohmann::json entry{{"zone", m_gateway.options.zone},
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -54,6 +54,7 @@
 
     asio::awaitable<void> follow(Follower follower);
     asio::awaitable<bool> listAll(const Follower &follower, std::uint64_t &revision);
+    [[nodiscard]] Duration gatherFor(const Follower &follower) const noexcept;
     asio::awaitable<void> registerInstance();
     asio::awaitable<void> keepLease();
     asio::awaitable<void> look(bool maybeOld);
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -114,7 +114,7 @@
 }
 
 ClientPool::ClientPool(asio::io_context &loop, tcp::endpoint endpoint, Duration idleLimit)
-    : m_loop(loop), m_endpoint(endpoint), m_idleLimit(idleLimit)
+    : m_loop(loop), m_endpoint(std::move(endpoint)), m_idleLimit(idleLimit)
 { }
 
 std::shared_ptr<ClientConnection> ClientPool::takeIdle()
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -265,7 +265,7 @@
             std::vector<TargetEntry> entries;
             for (const json &entry : root.at("targets").at("entries"))
                 entries.push_back(entryOf(entry));
-            m_hooks.targets(std::move(entries), root.at("targets").at("revision"));
+            m_hooks.targets(entries, root.at("targets").at("revision"));
         }
         if (root.contains("evacuations")) {
             m_hooks.evacuated(root.at("evacuations").at("zones"),
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -40,8 +40,8 @@
         std::function<SharedState()> state;
         /// Takes over settings, targets and evacuations that are newer than the known ones.
         std::function<void(const StoredObject &)> settings;
-        std::function<void(std::vector<TargetEntry>, std::uint64_t)> targets;
-        std::function<void(std::vector<std::string>, std::uint64_t)> evacuated;
+        std::function<void(const std::vector<TargetEntry> &, std::uint64_t)> targets;
+        std::function<void(const std::vector<std::string> &, std::uint64_t)> evacuated;
     };
 
     PeerLink(Gateway &gateway, Hooks hooks);
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -269,7 +269,7 @@
     std::uint32_t first = 0;
     for (const auto &[id, standing] : standings) {
         sum += standing.capacity;
-        const auto end = static_cast<std::uint32_t>((lastKey + 1) * sum / total + 0.5);
+        const auto end = static_cast<std::uint32_t>(std::lround((lastKey + 1) * sum / total));
         if (end <= first)
             continue;
         Slot slot;
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -18,8 +18,9 @@
 constexpr Duration coldLook = std::chrono::milliseconds(30);
 /// Longest wait between two looks, should a wake-up be missed.
 constexpr Duration safetyLook = std::chrono::milliseconds(250);
-/// Requests under way when a target must get nothing more; sending ends that much before.
-constexpr Duration unwantedMargin = std::chrono::milliseconds(400);
+/// The leaving is learned up to 0.4 s after its acknowledgement, and a request takes its way;
+/// sending ends that much before the bound.
+constexpr Duration unwantedMargin = std::chrono::milliseconds(600);
 /// What another availability zone counts against a target, in requests per slot.
 constexpr double otherZonePenalty = 0.35;
 /// Usual time of a request while none was seen, in seconds.
