--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -34,6 +34,9 @@
     asio::awaitable<void> leave();
 
 private:
+    /// Pause after a call to the store that failed.
+    static constexpr Duration storePause = std::chrono::milliseconds(250);
+
     using Objects = std::vector<StoredObject>;
     /// What a change of a kind of object means.
     struct Follower
--- /dev/null
+++ b/src/gateway/control_placing.cpp
@@ -0,0 +1,316 @@
+// The placer's side of control: the lease, and carrying out what the placers of the services
+// decide.
+
+#include "gateway/control.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+/// Between two looks at what is due.
+constexpr Duration tickEvery = std::chrono::milliseconds(100);
+/// Between two looks at the lease.
+constexpr Duration leaseTick = std::chrono::milliseconds(200);
+constexpr const char *leaseName = "placer";
+
+OrderOutcome outcomeOf(const CallResult &result)
+{
+    if (result.end == CallEnd::NotSent)
+        return OrderOutcome::NotSent;
+    if (result.end != CallEnd::Answered)
+        return OrderOutcome::NoAnswer;
+    switch (result.response.result()) {
+    case http::status::ok:
+        return OrderOutcome::Done;
+    case http::status::conflict:
+        return OrderOutcome::Refused;
+    case http::status::misdirected_request:
+        return OrderOutcome::WrongTarget;
+    default:
+        return OrderOutcome::NoAnswer;
+    }
+}
+
+nlohmann::json keysJson(const KeySpan &keys)
+{
+    return nlohmann::json::array({keys.first, keys.last});
+}
+
+} // namespace
+
+asio::awaitable<void> Control::keepLease()
+{
+    while (!m_gateway.stopping) {
+        switch (m_lease.step(m_gateway.now())) {
+        case LeaseStep::Nothing:
+            break;
+        case LeaseStep::Look:
+            co_await look(true);
+            break;
+        case LeaseStep::Take:
+            co_await take();
+            break;
+        case LeaseStep::Renew:
+            co_await renew();
+            break;
+        }
+        if (m_wasPlacing && !placing())
+            stepDown("lease ended");
+        co_await pause(leaseTick);
+    }
+}
+
+asio::awaitable<void> Control::look(bool maybeOld)
+{
+    const Result<StoredObject> found =
+        co_await m_gateway.store.get(ObjectKind::Leases, leaseName, maybeOld);
+    const bool absent = !found && found.error().code == ErrorCode::NotFound;
+    storeAnswered(found.hasValue() || absent, "get");
+    if (absent) {
+        m_lease.saw(std::nullopt, 0, m_gateway.now());
+    } else if (found) {
+        const Result<LeaseRecord> record = decodeLease(found->text);
+        m_lease.saw(record ? std::optional(*record) : std::nullopt, found->revision,
+                    m_gateway.now());
+    }
+}
+
+asio::awaitable<void> Control::take()
+{
+    if (!m_gateway.desired || !m_gateway.targetsKnown)
+        co_return;
+    co_await look(false);
+    if (m_lease.step(m_gateway.now()) != LeaseStep::Take)
+        co_return;
+    const TimePoint sentAt = m_gateway.now();
+    const LeaseRecord record = m_lease.next();
+    const std::string before = m_lease.holder();
+    const WriteResult written = co_await m_gateway.store.put(
+        ObjectKind::Leases, leaseName, encodeLease(record), m_lease.revision());
+    if (written.end == WriteEnd::Stored) {
+        m_lease.stored(record, written.object.revision, sentAt);
+        m_wasPlacing = true;
+        m_gateway.log.write("placement", "lease-taken",
+                            {{"before", before}, {"revision", written.object.revision}});
+    } else if (written.end == WriteEnd::Conflict) {
+        const Result<LeaseRecord> there = decodeLease(written.object.text);
+        m_lease.saw(there ? std::optional(*there) : std::nullopt, written.object.revision,
+                    m_gateway.now());
+    }
+}
+
+asio::awaitable<void> Control::renew()
+{
+    const TimePoint sentAt = m_gateway.now();
+    const LeaseRecord record = m_lease.next();
+    if (std::exchange(m_renewal, record.renewal) != record.renewal)
+        m_renewalSince = sentAt;
+    const WriteResult written = co_await m_gateway.store.put(
+        ObjectKind::Leases, leaseName, encodeLease(record), m_lease.revision());
+    storeAnswered(written.end == WriteEnd::Stored || written.end == WriteEnd::Conflict, "renew");
+    if (written.end == WriteEnd::Stored) {
+        m_lease.stored(record, written.object.revision, sentAt);
+        co_return;
+    }
+    if (written.end != WriteEnd::Conflict)
+        co_return;
+    const Result<LeaseRecord> there = decodeLease(written.object.text);
+    if (there && m_lease.ours(*there)) {
+        // An earlier try of this renewal took effect, whose answer was lost.
+        m_lease.stored(*there, written.object.revision, m_renewalSince);
+        co_return;
+    }
+    m_lease.drop();
+    m_lease.saw(there ? std::optional(*there) : std::nullopt, written.object.revision,
+                m_gateway.now());
+    stepDown("another instance places");
+}
+
+void Control::stepDown(std::string_view why)
+{
+    m_wasPlacing = false;
+    m_lease.drop();
+    m_placing.clear();
+    m_gateway.log.write("placement", "lease-lost", {{"why", why}});
+}
+
+asio::awaitable<void> Control::leave()
+{
+    if (m_lease.held(m_gateway.now())) {
+        LeaseRecord record = m_lease.next();
+        record.holder.clear();
+        m_placing.clear();
+        co_await m_gateway.store.put(ObjectKind::Leases, leaseName, encodeLease(record),
+                                     m_lease.revision());
+        stepDown("instance stops");
+    }
+}
+
+double Control::slowness(const Target &target) const
+{
+    const auto found = m_gateway.slowness.find(target.entry.id);
+    return found == m_gateway.slowness.end() ? 1.0 : found->second;
+}
+
+asio::awaitable<void> Control::tickLoop()
+{
+    while (true) {
+        const TimePoint now = m_gateway.now();
+        if (m_gateway.directory.tick(now))
+            m_gateway.wakeAll();
+        m_gateway.forgetTargets();
+        if (placing() && m_gateway.desired) {
+            for (const auto &[name, service] : m_gateway.desired->services) {
+                if (!service.keyed)
+                    continue;
+                Placing &placing = m_placing[name];
+                if (placing.placer)
+                    place(name, placing);
+                else if (!std::exchange(placing.loading, true))
+                    asio::co_spawn(m_gateway.loop, adopt(name), asio::detached);
+            }
+        }
+        co_await pause(tickEvery);
+    }
+}
+
+asio::awaitable<void> Control::adopt(std::string service)
+{
+    const Result<StoredObject> found =
+        co_await m_gateway.store.get(ObjectKind::ShardMaps, service, false);
+    const auto at = m_placing.find(service);
+    if (at == m_placing.end())
+        co_return;
+    Placing &placing = at->second;
+    placing.loading = false;
+    const bool absent = !found && found.error().code == ErrorCode::NotFound;
+    if (!found && !absent)
+        co_return;
+    std::optional<ShardMap> stored;
+    if (found) {
+        Result<ShardMap> map = decodeShardMap(found->text);
+        if (!map) {
+            m_gateway.log.write("placement", "bad-map", {{"error", map.error().text}});
+            co_return;
+        }
+        stored = std::move(*map);
+    }
+    PlacerTiming timing;
+    timing.hold = std::min(timing.hold, m_gateway.options.holdMost);
+    placing.revision = found ? found->revision : 0;
+    placing.placer = ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
+    placing.placer->adopt(stored, m_gateway.now());
+    m_gateway.log.write("placement", "adopted",
+                        {{"service", service},
+                         {"revision", placing.revision},
+                         {"ranges", stored ? stored->ranges.size() : 0}});
+    place(service, placing);
+}
+
+void Control::place(const std::string &service, Placing &placing)
+{
+    const LiveService &live = m_gateway.liveService(service);
+    if (live.load == nullptr || !this->placing())
+        return;
+    const PlacementView view{m_gateway.directory, *live.load,
+                             [this](const Target &target) { return slowness(target); }};
+    PlacerOutput out = placing.placer->tick(view, m_gateway.now());
+    for (PlacementNote &note : out.notes) {
+        m_gateway.metrics.count("move", note.reason);
+        m_gateway.log.write("placement", note.event,
+                            {{"service", service},
+                             {"keys", keysJson(note.keys)},
+                             {"from", note.from},
+                             {"to", note.to},
+                             {"fence", note.fence},
+                             {"directory", m_gateway.directory.version()},
+                             {"reason", note.reason}});
+    }
+    for (ShardOrder &order : out.orders)
+        asio::co_spawn(m_gateway.loop, carryOut(service, std::move(order)), asio::detached);
+    if (out.write)
+        asio::co_spawn(m_gateway.loop, store(service, std::move(*out.write)), asio::detached);
+}
+
+asio::awaitable<void> Control::store(std::string service, ShardMap map)
+{
+    const std::string text = encodeShardMap(map);
+    while (placing()) {
+        const auto at = m_placing.find(service);
+        if (at == m_placing.end() || !at->second.placer)
+            co_return;
+        const std::uint64_t before = at->second.revision;
+        const WriteResult written =
+            co_await m_gateway.store.put(ObjectKind::ShardMaps, service, text, before);
+        const auto after = m_placing.find(service);
+        if (after == m_placing.end() || !after->second.placer)
+            co_return;
+        bool stored = written.end == WriteEnd::Stored;
+        if (written.end == WriteEnd::Conflict) {
+            const Result<ShardMap> there = decodeShardMap(written.object.text);
+            stored = there && there->placer == map.placer && there->write == map.write;
+            if (!stored) {
+                stepDown("another instance wrote the shard map");
+                co_return;
+            }
+        }
+        if (stored) {
+            after->second.revision = written.object.revision;
+            after->second.placer->writeDone(m_gateway.now());
+            const auto known = m_gateway.shardMaps.find(service);
+            const ShardMap before =
+                known == m_gateway.shardMaps.end() ? ShardMap{} : known->second.map;
+            m_peers.tellPeers(shardDelta(before, map, written.object.revision));
+            m_gateway.apply(map, written.object.revision);
+            place(service, after->second);
+            co_return;
+        }
+        co_await pause(storePause);
+    }
+}
+
+asio::awaitable<void> Control::carryOut(std::string service, ShardOrder order)
+{
+    const Target *target = m_gateway.directory.find(order.holder.target);
+    OrderOutcome outcome = OrderOutcome::NotSent;
+    std::string handover;
+    const TimePoint sentAt = m_gateway.now();
+    if (target != nullptr && placing() && sentAt < order.sendBefore) {
+        const std::shared_ptr<LiveTarget> live = m_gateway.liveTarget(*target);
+        CallOptions options;
+        options.connectTimeout = order.sendBefore - sentAt;
+        options.timeout = order.answerWithin;
+        const CallResult result =
+            co_await live->orders->call(m_gateway.protocol.order(order), std::move(options));
+        outcome = outcomeOf(result);
+        if (outcome == OrderOutcome::Done && order.kind == OrderKind::Release)
+            handover = m_gateway.protocol.handover(result.response);
+    }
+    m_gateway.metrics.count(toString(order.kind), toString(outcome));
+    const bool noteworthy = order.kind == OrderKind::Release || outcome != OrderOutcome::Done
+        || !order.handover.empty();
+    if (noteworthy) {
+        using Milliseconds = std::chrono::duration<double, std::milli>;
+        m_gateway.log.write("placement", toString(order.kind),
+                            {{"service", service},
+                             {"keys", keysJson(order.keys)},
+                             {"target", order.holder.target},
+                             {"fence", order.holder.fence},
+                             {"tookMs", Milliseconds(m_gateway.now() - sentAt).count()},
+                             {"outcome", toString(outcome)}});
+    }
+    const auto at = m_placing.find(service);
+    if (at == m_placing.end() || !at->second.placer)
+        co_return;
+    at->second.placer->orderDone(order.id, outcome, handover, m_gateway.now());
+    if (noteworthy)
+        place(service, at->second);
+}
+
+} // namespace yuccaspan::gateway
--- a/src/gateway/shard_delta.cpp
+++ b/src/gateway/shard_delta.cpp
@@ -15,17 +15,6 @@
     return left.first <= right.last && right.first <= left.last;
 }
 
-bool coversAllKeys(const std::vector<ShardRange> &ranges) noexcept
-{
-    std::uint32_t expected = 0;
-    for (const ShardRange &range : ranges) {
-        if (range.keys.first != expected)
-            return false;
-        expected = range.keys.last + 1;
-    }
-    return expected == lastKey + 1;
-}
-
 } // namespace
 
 ShardDelta shardDelta(const ShardMap &before, const ShardMap &after, std::uint64_t revision)
@@ -55,7 +44,7 @@
     });
     next.ranges.insert(next.ranges.end(), delta.changed.begin(), delta.changed.end());
     std::ranges::sort(next.ranges, {}, [](const ShardRange &range) { return range.keys.first; });
-    if (!coversAllKeys(next.ranges))
+    if (!coverAllKeys(next.ranges))
         return std::nullopt;
     return next;
 }
--- a/src/gateway/shard_map.cpp
+++ b/src/gateway/shard_map.cpp
@@ -21,18 +21,6 @@
             value.at(2).get<std::uint64_t>()};
 }
 
-bool coversAllKeys(const std::vector<ShardRange> &ranges)
-{
-    std::uint32_t expected = 0;
-    for (const ShardRange &range : ranges) {
-        const KeySpan &keys = range.keys;
-        if (keys.first != expected || keys.last < keys.first || keys.last > lastKey)
-            return false;
-        expected = keys.last + 1;
-    }
-    return ranges.empty() || expected == lastKey + 1;
-}
-
 } // namespace
 
 json rangeJson(const ShardRange &range)
@@ -57,6 +45,18 @@
     return range;
 }
 
+bool coverAllKeys(const std::vector<ShardRange> &ranges) noexcept
+{
+    std::uint32_t expected = 0;
+    for (const ShardRange &range : ranges) {
+        const KeySpan &keys = range.keys;
+        if (keys.first != expected || keys.last < keys.first || keys.last > lastKey)
+            return false;
+        expected = keys.last + 1;
+    }
+    return expected == lastKey + 1;
+}
+
 const ShardRange *ShardMap::find(std::uint32_t key) const noexcept
 {
     const auto found = std::ranges::lower_bound(
@@ -87,7 +87,7 @@
         map.lastFence = root.at("lastFence").get<std::uint64_t>();
         for (const json &item : root.at("ranges"))
             map.ranges.push_back(rangeOf(item));
-        if (!coversAllKeys(map.ranges))
+        if (!map.ranges.empty() && !coverAllKeys(map.ranges))
             return Error{ErrorCode::SchemaViolation, "the ranges of the shard map have gaps", {}};
         return map;
     } catch (const json::exception &failure) {
--- a/src/gateway/shard_map.hpp
+++ b/src/gateway/shard_map.hpp
@@ -80,6 +80,8 @@
     [[nodiscard]] const ShardRange *find(std::uint32_t key) const noexcept;
 };
 
+/// \brief Whether the ranges are in order and cover all keys without gaps.
+[[nodiscard]] bool coverAllKeys(const std::vector<ShardRange> &ranges) noexcept;
 /// \brief A range as JSON.
 [[nodiscard]] nlohmann::json rangeJson(const ShardRange &range);
 /// \brief Reads a range; throws nlohmann::json::exception where it is malformed.
--- a/src/log/decision_log.cpp
+++ b/src/log/decision_log.cpp
@@ -70,9 +70,8 @@
 {
     const log4cxx::LayoutPtr layout = makeLayout(options.form);
     if (options.file.empty()) {
-        const auto stream = options.form == LogForm::Raw
-            ? log4cxx::ConsoleAppender::getSystemOut()
-            : log4cxx::ConsoleAppender::getSystemErr();
+        const auto stream = options.form == LogForm::Raw ? log4cxx::ConsoleAppender::getSystemOut()
+                                                         : log4cxx::ConsoleAppender::getSystemErr();
         return std::make_shared<log4cxx::ConsoleAppender>(layout, stream);
     }
     constexpr bool append = true;
