--- /dev/null
+++ b/tests/gateway/test_control.cpp
@@ -0,0 +1,174 @@
+#include "gateway/boottime_clock.hpp"
+#include "gateway/control.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+class SilentLog final : public DecisionLog
+{
+public:
+    void write(std::string_view /*part*/, std::string /*text*/) noexcept override { }
+    [[nodiscard]] bool wantsRouting() const noexcept override { return false; }
+    [[nodiscard]] std::uint64_t dropped() const noexcept override { return 0; }
+    [[nodiscard]] std::uint64_t written() const noexcept override { return 0; }
+};
+
+class NoProtocol final : public TargetProtocol
+{
+public:
+    [[nodiscard]] CallerFacts readCaller(const HttpRequest & /*request*/) const override
+    {
+        return {};
+    }
+    void address(HttpRequest & /*request*/, Duration /*left*/,
+                 const std::string & /*target*/) const override
+    { }
+    [[nodiscard]] AnswerFacts readAnswer(const HttpResponse & /*response*/) const override
+    {
+        return {};
+    }
+    [[nodiscard]] HttpRequest order(const ShardOrder & /*order*/) const override { return {}; }
+    [[nodiscard]] std::string handover(const HttpResponse & /*response*/) const override
+    {
+        return {};
+    }
+    void retryAfter(HttpResponse & /*response*/, Duration /*pause*/) const override { }
+};
+
+class NoCodec final : public PlatformCodec
+{
+public:
+    [[nodiscard]] Result<TargetEntry> target(const StoredObject & /*object*/) const override
+    {
+        return Error{ErrorCode::SchemaViolation, "damaged", {}};
+    }
+    [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
+    {
+        DesiredState state;
+        state.version = object.revision;
+        return state;
+    }
+};
+
+/// A store that lists nothing, whose watches wait until they are ended, and whose reads fail a
+/// number of times.
+class SilentStore final : public MetadataStore
+{
+public:
+    SilentStore(asio::io_context &loop, int failingReads)
+        : m_loop(loop), m_failingReads(failingReads)
+    { }
+
+    asio::awaitable<Result<StoredObjects>> list(ObjectKind kind) override
+    {
+        StoredObjects objects;
+        objects.revision = 7;
+        if (kind == ObjectKind::Targets)
+            objects.objects.push_back({"damaged", 3, false, nullptr, {}});
+        co_return objects;
+    }
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, std::uint64_t revision,
+                                                 Duration wait, CancelSink onCancel) override
+    {
+        ++watches[kind];
+        lastRevision = revision;
+        asio::steady_timer timer(m_loop, wait);
+        onCancel([&timer] { timer.cancel(); });
+        co_await timer.async_wait(asTuple);
+        onCancel({});
+        co_return Error{ErrorCode::Timeout, "silent", {}};
+    }
+    asio::awaitable<Result<StoredObject>> get(ObjectKind /*kind*/, const std::string & /*name*/,
+                                              bool /*maybeOld*/) override
+    {
+        if (m_failingReads-- > 0)
+            co_return Error{ErrorCode::Timeout, "silent", {}};
+        co_return Error{ErrorCode::NotFound, "none", {}};
+    }
+    asio::awaitable<WriteResult> put(ObjectKind /*kind*/, const std::string & /*name*/,
+                                     const std::string & /*text*/,
+                                     std::uint64_t /*revision*/) override
+    {
+        co_return WriteResult{WriteEnd::Stored, {}};
+    }
+    asio::awaitable<WriteResult> remove(ObjectKind /*kind*/, const std::string & /*name*/,
+                                        std::uint64_t /*revision*/) override
+    {
+        co_return WriteResult{};
+    }
+
+    std::map<ObjectKind, int> watches;
+    std::uint64_t lastRevision = 0;
+
+private:
+    asio::io_context &m_loop;
+    int m_failingReads;
+};
+
+struct World
+{
+    explicit World(int failingReads)
+        : store(loop, failingReads),
+          log(std::make_unique<SilentLog>(), clock, "a"),
+          gateway(loop, clock, log, protocol, store, codec, options()),
+          control(gateway, "1")
+    { }
+
+    static GatewayOptions options()
+    {
+        GatewayOptions out;
+        out.name = "a";
+        return out;
+    }
+
+    /// Runs until the condition holds, or for longer than it takes but less than a watch waits.
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        for (int step = 0; step < 160 && !condition(); ++step)
+            loop.run_for(std::chrono::milliseconds(50));
+        return condition();
+    }
+
+    asio::io_context loop;
+    BoottimeClock clock;
+    SilentStore store;
+    EventLog log;
+    NoProtocol protocol;
+    NoCodec codec;
+    Gateway gateway;
+    Control control;
+};
+
+/// A watch that waited through an outage may never be answered; CONFIG was broken by it on the days
+/// hunt-5f10-7, -15, -31 and -39.
+TEST(Control, watchesBeginAnewWhenTheStoreIsBack)
+{
+    World world(2);
+    ASSERT_TRUE(world.control.start());
+    EXPECT_TRUE(world.runUntil([&] { return world.store.watches[ObjectKind::Settings] >= 2; }));
+    EXPECT_TRUE(world.runUntil([&] { return world.store.watches[ObjectKind::Targets] >= 2; }));
+    EXPECT_EQ(world.store.lastRevision, 7U);
+}
+
+TEST(Control, aDamagedEntryNamesNoTargetAndStopsNothing)
+{
+    World world(0);
+    ASSERT_TRUE(world.control.start());
+    EXPECT_TRUE(world.runUntil([&] { return world.gateway.targetsKnown; }));
+    EXPECT_TRUE(world.gateway.directory.targets().empty());
+    EXPECT_FALSE(world.gateway.ready());
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
--- /dev/null
+++ b/tests/gateway/test_http_call.cpp
@@ -0,0 +1,157 @@
+#include "gateway/http_call.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A server on a free port that does as told with each connection.
+class Peer
+{
+public:
+    using Script = std::function<asio::awaitable<void>(tcp::socket &)>;
+
+    Peer(asio::io_context &loop, Script script)
+        : m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          m_script(std::move(script))
+    {
+        asio::co_spawn(loop, run(), asio::detached);
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+private:
+    asio::awaitable<void> run()
+    {
+        auto [failure, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (!failure)
+            co_await m_script(socket);
+    }
+
+    tcp::acceptor m_acceptor;
+    Script m_script;
+};
+
+HttpRequest request()
+{
+    HttpRequest out(http::verb::post, "/grant", httpVersion11);
+    out.body() = "body";
+    out.prepare_payload();
+    return out;
+}
+
+CallResult call(asio::io_context &loop, const std::string &address, CallOptions options)
+{
+    CallResult result;
+    const auto pool = ClientPool::create(loop, address, std::chrono::seconds(1));
+    asio::co_spawn(
+        loop,
+        [&]() -> asio::awaitable<void> {
+            result = co_await pool->call(request(), std::move(options));
+        },
+        asio::detached);
+    loop.run();
+    return result;
+}
+
+asio::awaitable<void> readHead(tcp::socket &socket)
+{
+    std::string bytes(4096, '\0');
+    co_await socket.async_read_some(asio::buffer(bytes), asTuple);
+}
+
+asio::awaitable<void> send(tcp::socket &socket, std::string text)
+{
+    co_await asio::async_write(socket, asio::buffer(text), asTuple);
+}
+
+/// A call that is given up must not leave bytes on the way: its connection is reset, not closed.
+TEST(HttpCall, resetsTheConnectionOfACallThatIsGivenUp)
+{
+    asio::io_context loop;
+    beast::error_code end;
+    Peer peer(loop, [&](tcp::socket &socket) -> asio::awaitable<void> {
+        co_await readHead(socket);
+        char byte = 0;
+        const auto [failure, count] =
+            co_await asio::async_read(socket, asio::buffer(&byte, 1), asTuple);
+        end = failure;
+    });
+    CallOptions options;
+    options.timeout = milliseconds(50);
+    EXPECT_EQ(call(loop, peer.address(), std::move(options)).end, CallEnd::TimedOut);
+    EXPECT_EQ(end, asio::error::connection_reset);
+}
+
+TEST(HttpCall, sendsNothingWhereNobodyListens)
+{
+    asio::io_context loop;
+    tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    acceptor.close();
+    EXPECT_EQ(call(loop, address, {}).end, CallEnd::NotSent);
+}
+
+TEST(HttpCall, dropsAnswersOfOtherCalls)
+{
+    asio::io_context loop;
+    Peer peer(loop, [](tcp::socket &socket) -> asio::awaitable<void> {
+        co_await readHead(socket);
+        co_await send(socket,
+                      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\na"
+                      "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 1\r\n\r\nb");
+    });
+    CallOptions options;
+    options.belongs = [](const HttpResponse &response) { return response["Id"] == "mine"; };
+    const CallResult result = call(loop, peer.address(), std::move(options));
+    EXPECT_EQ(result.end, CallEnd::Answered);
+    EXPECT_EQ(result.response.body(), "b");
+}
+
+/// Whole only if the connection ended cleanly.
+TEST(HttpCall, anAnswerWithoutLengthEndsWithItsConnection)
+{
+    for (const bool reset : {false, true}) {
+        asio::io_context loop;
+        Peer peer(loop, [reset](tcp::socket &socket) -> asio::awaitable<void> {
+            co_await readHead(socket);
+            co_await send(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+            if (reset) {
+                asio::steady_timer timer(socket.get_executor(), milliseconds(20));
+                co_await timer.async_wait(asTuple);
+                socket.set_option(tcp::socket::linger(true, 0));
+            }
+            socket.close();
+        });
+        const CallResult result = call(loop, peer.address(), {});
+        EXPECT_EQ(result.end, reset ? CallEnd::Broken : CallEnd::Answered);
+    }
+}
+
+TEST(HttpCall, aTruncatedAnswerIsNone)
+{
+    asio::io_context loop;
+    Peer peer(loop, [](tcp::socket &socket) -> asio::awaitable<void> {
+        co_await readHead(socket);
+        co_await send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+        socket.close();
+    });
+    EXPECT_EQ(call(loop, peer.address(), {}).end, CallEnd::Broken);
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
