A later life of a target gives up the keys that renewals brought it

Orders name the id, so renewals reach the later life, which holds the keys. When the store tells of it, the placer took the owner for ended and its keys for free, and granted them to others: two owners for up to 5 s.

Ruled out: renewing only after a look at the store, which costs a call for each new connection and still races with the restart.

Change: the later life is asked for a release before the keys move on. Unanswered grants on a connection that had been answered on before died with the earlier life; others stay in doubt.

--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -33,7 +33,7 @@
     case http::status::misdirected_request:
         return OrderOutcome::WrongTarget;
     default:
-        return OrderOutcome::NoAnswer;
+        return result.reused ? OrderOutcome::BrokenOff : OrderOutcome::NoAnswer;
     }
 }
 
--- a/tests/gateway/placer_world.cpp
+++ b/tests/gateway/placer_world.cpp
@@ -116,8 +116,7 @@
                 crashTarget(index, true);
                 const bool late = chance(m_faults.lateNews);
                 target.newsDelay = std::chrono::milliseconds(late ? 500 + m_random() % 2500 : 0);
-            }
-            else if (chance(m_faults.drain))
+            } else if (chance(m_faults.drain))
                 drainTarget(index);
         }
         if (m_now >= target.unlistAt) {
@@ -187,7 +186,7 @@
         m_answers.push_back({m_now + stepSpan, order.id, OrderOutcome::NotSent, m_placerId});
         return;
     }
-    Message message{m_now + wayThere, order, m_now + wayThere, true, m_placerId,
+    Message message{m_now + wayThere,         order, m_now + wayThere, true, m_placerId,
                     target->entry.incarnation};
     const bool grant = order.kind == OrderKind::Grant;
     if (grant && chance(m_faults.lateGrant)) {
@@ -370,8 +369,8 @@
                     target.entry.id + "/" + std::to_string(target.entry.incarnation);
                 if (last != life && !last.empty()) {
                     m_moved += 1.0 / static_cast<double>(keys.size());
-                    // A renewal may reach a later life that nobody had told the placer of when it was
-                    // sent; send() checks that no token is meant for two lives.
+                    // A renewal may reach a later life that nobody had told the placer of when it
+                    // was sent; send() checks that no token is meant for two lives.
                     const bool renewal =
                         grant.fence == fence && last.starts_with(target.entry.id + "/");
                     if (grant.fence <= fence && !renewal)
--- a/tests/gateway/placer_world.hpp
+++ b/tests/gateway/placer_world.hpp
@@ -25,8 +25,8 @@
     std::uint32_t drain = 0; ///< A target drains, in each step.
     std::uint32_t takeover = 0; ///< The placer is replaced by another, in each step.
     std::uint32_t storeDown = 0; ///< The store is away for 2 s, in each step.
-    /// News of a target's later life comes up to 3 s after it answers, for each restart. Orders name
-    /// the target's id alone, so the later life carries them out.
+    /// News of a target's later life comes up to 3 s after it answers, for each restart. Orders
+    /// name the target's id alone, so the later life carries them out.
     std::uint32_t lateNews = 0;
 };
 
