Sending to a leaving target ends by the earliest time of its acknowledgement

With 28 instances changes gather for 0.35 s and a connection may take 0.3 s: a request reached its target 38 ms late.

Change: what an answer of the store shows counts from the answer before it, or, after a watch that waited, from 150 ms ago. The time left bounds the connect too, so 0.2 s are left for the way.

A key that a target disowns makes the instance ask the placer. Entries that peers told of had no cold span at all before: FAILBACK could break.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -15,14 +15,18 @@
 constexpr Duration watchWait = std::chrono::seconds(15);
 /// A desired state is in force everywhere within 2 s of its acknowledgement.
 constexpr Duration gatherSettings = std::chrono::milliseconds(100);
-/// A leaving target gets nothing after 2 s, and its keys take a part of that to move.
+/// The placer learns of changes at once: the keys of a leaving target take a part of the bound to
+/// move, and the placer tells the others of new owners.
 constexpr Duration gatherTargets = std::chrono::milliseconds(100);
-/// Each instance makes these calls, so all together make no more where there are many; the bound
-/// of 2 s allows no longer pause than the most.
-constexpr Duration gatherPerInstance = std::chrono::milliseconds(9);
-constexpr Duration mostGather = std::chrono::milliseconds(350);
+/// While targets change all the time, the others make 30 calls a second all together, within a part
+/// of the bound for sending to a leaving target.
+constexpr Duration gatherPerInstance = std::chrono::microseconds(33300);
+constexpr double mostPartOfDrain = 0.4;
 /// The placer tells its peers of each write; the store is for those that it did not reach.
-constexpr Duration gatherMaps = std::chrono::milliseconds(700);
+constexpr Duration gatherMaps = std::chrono::milliseconds(1500);
+/// A watch that was answered later than that after it was sent had nothing to tell at first: the
+/// store answers within 4 ms (site files), and the list of 200 targets takes 80 ms at 10 Mbit/s.
+constexpr Duration promptAnswer = std::chrono::milliseconds(150);
 /// The number of instances only divides budgets.
 constexpr Duration gatherInstances = std::chrono::milliseconds(1000);
 
@@ -51,10 +55,12 @@
     hooks.state = [this] { return sharedState(); };
     hooks.settings = [this](const StoredObject &object) { changeSettings(object); };
     hooks.targets = [this](const std::vector<TargetEntry> &entries, std::uint64_t revision) {
+        noteChanged(ObjectKind::Targets, m_gateway.now());
         m_revisions[ObjectKind::Targets] = revision;
         takeTargets(entries);
     };
     hooks.evacuated = [this](const std::vector<std::string> &zones, std::uint64_t revision) {
+        noteChanged(ObjectKind::Evacuations, m_gateway.now());
         m_revisions[ObjectKind::Evacuations] = revision;
         m_evacuated = {zones.begin(), zones.end()};
         takeEvacuations();
@@ -129,12 +135,24 @@
     }
 }
 
+/// Notes since when the changes of an answer may hold: a watch that waited tells of one that has
+/// just come; others came at any time since the answer before.
+void Control::noteChanged(ObjectKind kind, TimePoint askedAt)
+{
+    const TimePoint now = m_gateway.now();
+    TimePoint &answeredAt = m_answeredAt.try_emplace(kind, now).first->second;
+    m_changedSince = now - askedAt > promptAnswer ? now - promptAnswer : answeredAt;
+    answeredAt = now;
+}
+
 asio::awaitable<bool> Control::listAll(const Follower &follower, std::uint64_t &revision)
 {
     const Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
     storeAnswered(listed.hasValue(), "list");
     if (!listed)
         co_return false;
+    // A list may be late; what it shows anew came at any time since the answer before.
+    noteChanged(follower.kind, m_gateway.now());
     revision = listed->revision;
     m_revisions[follower.kind] = revision;
     (this->*follower.all)(listed->objects);
@@ -153,10 +171,12 @@
         const auto keepCancel = [this, kind = follower.kind](auto cancel) {
             m_watchCancels[kind] = std::move(cancel);
         };
+        const TimePoint askedAt = m_gateway.now();
         const Result<StoredObjects> changes =
             co_await m_gateway.store.watch(follower.kind, revision, watchWait, keepCancel);
         if (changes) {
             storeAnswered(true, "watch");
+            noteChanged(follower.kind, askedAt);
             revision = std::max(revision, changes->revision);
             m_revisions[follower.kind] = revision;
             for (const StoredObject &object : changes->objects)
@@ -180,9 +200,11 @@
 
 Duration Control::gatherFor(const Follower &follower) const noexcept
 {
-    if (follower.kind != ObjectKind::Targets)
+    if (follower.kind != ObjectKind::Targets || placing())
         return follower.gather;
-    return std::min(mostGather, follower.gather + gatherPerInstance * m_gateway.instances);
+    const auto most =
+        std::chrono::duration_cast<Duration>(m_gateway.options.drainWithin * mostPartOfDrain);
+    return std::clamp(gatherPerInstance * m_gateway.instances, follower.gather, most);
 }
 
 asio::awaitable<void> Control::registerInstance()
@@ -218,7 +240,7 @@
 
 void Control::takeTargets(const std::vector<TargetEntry> &entries)
 {
-    m_gateway.directory.replaceAll(entries, m_gateway.now());
+    m_gateway.directory.replaceAll(entries, m_gateway.now(), m_changedSince);
     m_gateway.targetsKnown = true;
     m_gateway.wakeAll();
     m_gateway.log.write(
@@ -230,7 +252,7 @@
 {
     const TimePoint now = m_gateway.now();
     if (object.deleted) {
-        m_gateway.directory.remove(object.name, now);
+        m_gateway.directory.remove(object.name, now, m_changedSince);
         m_gateway.log.write("membership", "target-gone",
                             {{"target", object.name}, {"revision", object.revision}});
         m_gateway.wakeAll();
@@ -242,7 +264,7 @@
                             {{"target", object.name}, {"error", entry.error().text}});
         return;
     }
-    if (!m_gateway.directory.put(*entry, now))
+    if (!m_gateway.directory.put(*entry, now, m_changedSince))
         return;
     m_gateway.log.write("membership", entry->draining ? "target-drains" : "target-ready",
                         {{"target", entry->id},
@@ -292,7 +314,7 @@
 
 void Control::takeEvacuations()
 {
-    m_gateway.directory.setEvacuated({m_evacuated.begin(), m_evacuated.end()}, m_gateway.now());
+    m_gateway.directory.setEvacuated({m_evacuated.begin(), m_evacuated.end()}, m_changedSince);
     m_gateway.wakeAll();
 }
 
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -57,6 +57,7 @@
 
     asio::awaitable<void> follow(Follower follower);
     asio::awaitable<bool> listAll(const Follower &follower, std::uint64_t &revision);
+    void noteChanged(ObjectKind kind, TimePoint askedAt);
     [[nodiscard]] Duration gatherFor(const Follower &follower) const noexcept;
     asio::awaitable<void> registerInstance();
     asio::awaitable<void> keepLease();
@@ -105,6 +106,8 @@
     std::set<std::string, std::less<>> m_evacuated;
     std::map<std::string, std::string> m_instances; ///< Where they listen, by name.
     std::map<ObjectKind, std::uint64_t> m_revisions; ///< Of the store, that a kind was read at.
+    std::map<ObjectKind, TimePoint> m_answeredAt; ///< Last answer about a kind.
+    TimePoint m_changedSince{}; ///< Earliest time of the changes that are being taken over.
     StoredObject m_settings; ///< The desired state in force, as the store sent it.
     PeerLink m_peers;
 };
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -33,7 +33,7 @@
     case http::status::misdirected_request:
         return OrderOutcome::WrongTarget;
     default:
-        return result.reused ? OrderOutcome::BrokenOff : OrderOutcome::NoAnswer;
+        return OrderOutcome::NoAnswer;
     }
 }
 
@@ -266,7 +266,9 @@
             const auto known = m_gateway.shardMaps.find(service);
             const ShardMap before =
                 known == m_gateway.shardMaps.end() ? ShardMap{} : known->second.map;
-            m_peers.tellPeers(shardDelta(before, map, written.object.revision));
+            ShardDelta delta = shardDelta(before, map, written.object.revision);
+            addNewTargets(delta, m_gateway.directory, m_gateway.now());
+            m_peers.tellPeers(delta);
             m_gateway.apply(map, written.object.revision);
             place(service, after->second);
             co_return;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peer_link.hpp"
 
+#include "gateway/entry_json.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,7 +18,7 @@
 
 /// Hot spans are to be found within a second.
 constexpr Duration reportEvery = std::chrono::milliseconds(200);
-/// How long a store must be away until peers are asked, and between two questions.
+/// Between two questions to peers, while the store is away or a target disowned a key.
 constexpr Duration askEvery = std::chrono::milliseconds(250);
 constexpr Duration askTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerIdle = std::chrono::seconds(3);
@@ -24,31 +26,6 @@
 /// Weight of one answer in the speed of a target.
 constexpr double answerWeight = 0.06;
 
-json entryJson(const TargetEntry &entry, bool listed)
-{
-    return {{"id", entry.id},
-            {"incarnation", entry.incarnation},
-            {"service", entry.service},
-            {"address", entry.address},
-            {"zone", entry.zone},
-            {"slots", entry.slots},
-            {"draining", entry.draining},
-            {"listed", listed}};
-}
-
-TargetEntry entryOf(const json &value)
-{
-    TargetEntry entry;
-    entry.id = value.at("id").get<std::string>();
-    entry.incarnation = value.at("incarnation").get<std::int64_t>();
-    entry.service = value.at("service").get<std::string>();
-    entry.address = value.at("address").get<std::string>();
-    entry.zone = value.at("zone").get<std::string>();
-    entry.slots = value.at("slots").get<std::uint32_t>();
-    entry.draining = value.at("draining").get<bool>();
-    return entry;
-}
-
 } // namespace
 
 PeerLink::PeerLink(Gateway &gateway, Hooks hooks)
@@ -120,12 +97,15 @@
     const auto known = m_gateway.shardMaps.find(delta.service);
     if (known == m_gateway.shardMaps.end() || known->second.revision >= delta.revision)
         return;
+    // The directory follows the store at its own pace; owners must be found at once.
+    for (const TargetEntry &entry : delta.targets)
+        m_gateway.directory.putUnknown(entry, m_gateway.now());
     std::optional<ShardMap> map = applyDelta(known->second.map, delta);
     m_gateway.metrics.count("map-change", map ? "taken" : "missed-one-before");
     if (map)
         m_gateway.apply(std::move(*map), delta.revision);
-    else if (const auto placer = m_peers.find(m_hooks.placer()); placer != m_peers.end())
-        asio::co_spawn(m_gateway.loop, ask(placer->second), asio::detached);
+    else
+        asio::co_spawn(m_gateway.loop, askPlacer(), asio::detached);
 }
 
 asio::awaitable<void> PeerLink::takeMessages()
@@ -176,8 +156,13 @@
     while (true) {
         timer.expires_after(askEvery);
         co_await timer.async_wait(asTuple);
-        if (!m_hooks.storeAway() || m_peers.size() < 2)
+        if (m_peers.size() < 2)
+            continue;
+        if (!m_hooks.storeAway()) {
+            if (std::exchange(m_gateway.mapDoubted, false))
+                co_await askPlacer();
             continue;
+        }
         auto peer = m_peers.begin();
         std::advance(peer, static_cast<std::ptrdiff_t>(m_nextPeer++ % m_peers.size()));
         if (peer->first != m_gateway.options.name)
@@ -185,6 +170,13 @@
     }
 }
 
+asio::awaitable<void> PeerLink::askPlacer()
+{
+    const auto placer = m_peers.find(m_hooks.placer());
+    if (placer != m_peers.end() && !m_hooks.placesHere())
+        co_await ask(placer->second);
+}
+
 asio::awaitable<void> PeerLink::ask(std::string address)
 {
     const SharedState known = m_hooks.state();
@@ -227,7 +219,7 @@
             json entries = json::array();
             for (const auto &[id, target] : m_gateway.directory.targets()) {
                 if (target.listed)
-                    entries.push_back(entryJson(target.entry, target.listed));
+                    entries.push_back(entryJson(entryNow(target, m_gateway.now())));
             }
             answer["targets"] = {{"revision", state.targetsRevision},
                                  {"entries", std::move(entries)}};
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -59,6 +59,7 @@
     asio::awaitable<void> reportLoad();
     asio::awaitable<void> takeMessages();
     asio::awaitable<void> askPeers();
+    asio::awaitable<void> askPlacer();
     asio::awaitable<void> ask(std::string address);
     void learn(const std::string &answer);
     void note(const LoadMessage &message);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -69,14 +69,14 @@
 }
 
 asio::awaitable<Attempt> sendTo(Gateway &gateway, const std::shared_ptr<Flow> &flow,
-                                const std::shared_ptr<LiveTarget> &target)
+                                const std::shared_ptr<LiveTarget> &target, TimePoint sendBefore)
 {
     Attempt attempt;
     const TimePoint sentAt = gateway.now();
     HttpRequest request = flow->request;
     gateway.protocol.address(request, flow->deadline - sentAt, target->entry.id);
     CallOptions options;
-    options.connectTimeout = connectTimeout;
+    options.connectTimeout = std::min(connectTimeout, sendBefore - sentAt);
     options.timeout = flow->deadline - sentAt;
     options.belongs = [&gateway, flow](const HttpResponse &response) {
         return gateway.protocol.readAnswer(response).requestId == flow->facts.requestId;
@@ -107,6 +107,7 @@
 {
     const AttemptEnd end = attemptEnd(attempt);
     target->gate.finished(end, attempt.latency, attempt.facts.load, gateway.now());
+    gateway.mapDoubted = gateway.mapDoubted || end == AttemptEnd::Misdirected;
     if (end == AttemptEnd::Answered) {
         const double seconds = std::chrono::duration<double>(attempt.latency).count();
         double &usual = gateway.routeSeconds.try_emplace(flow.route->name, seconds).first->second;
@@ -166,7 +167,8 @@
             }
             if (m_flow->sends > 0 && !mayRepeat(budget))
                 co_return ended(m_lastFailure, defaultPause);
-            const Attempt attempt = co_await sendTo(m_gateway, m_flow, choice.target);
+            const Attempt attempt =
+                co_await sendTo(m_gateway, m_flow, choice.target, choice.sendBefore);
             settle(m_gateway, *m_flow, choice.target, attempt);
             if (std::optional<FlowEnd> end = judge(attempt))
                 co_return std::move(*end);
--- a/src/gateway/shard_delta.cpp
+++ b/src/gateway/shard_delta.cpp
@@ -1,8 +1,11 @@
 #include "gateway/shard_delta.hpp"
 
+#include "gateway/entry_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace yuccaspan::gateway {
 
@@ -10,6 +13,9 @@
 
 using nlohmann::json;
 
+/// Targets that are known longer are known to all instances; each follows the store within 1.5 s.
+constexpr Duration newFor = std::chrono::seconds(4);
+
 bool overlaps(const KeySpan &left, const KeySpan &right) noexcept
 {
     return left.first <= right.last && right.first <= left.last;
@@ -20,7 +26,7 @@
 ShardDelta shardDelta(const ShardMap &before, const ShardMap &after, std::uint64_t revision)
 {
     ShardDelta delta{after.service, after.placer, after.term, before.write,
-                     after.write,   revision,     {}};
+                     after.write,   revision,     {},         {}};
     for (const ShardRange &range : after.ranges) {
         const ShardRange *known = before.find(range.keys.first);
         if (known == nullptr || *known != range)
@@ -49,8 +55,24 @@
     return next;
 }
 
+void addNewTargets(ShardDelta &delta, const TargetDirectory &directory, TimePoint now)
+{
+    std::set<std::string> added;
+    for (const ShardRange &range : delta.changed) {
+        const std::optional<Holder> &holder = range.next ? range.next : range.owner;
+        const Target *target = holder ? directory.find(holder->target) : nullptr;
+        const bool isNew = target != nullptr && now - target->knownSince < newFor;
+        if (!isNew || !added.insert(target->entry.id).second)
+            continue;
+        delta.targets.push_back(entryNow(*target, now));
+    }
+}
+
 std::vector<std::uint8_t> encodeShardDelta(const ShardDelta &delta)
 {
+    json targets = json::array();
+    for (const TargetEntry &entry : delta.targets)
+        targets.push_back(entryJson(entry));
     json ranges = json::array();
     for (const ShardRange &range : delta.changed)
         ranges.push_back(rangeJson(range));
@@ -60,7 +82,8 @@
                               {"before", delta.before},
                               {"write", delta.write},
                               {"revision", delta.revision},
-                              {"ranges", std::move(ranges)}});
+                              {"ranges", std::move(ranges)},
+                              {"targets", std::move(targets)}});
 }
 
 Result<ShardDelta> decodeShardDelta(const std::vector<std::uint8_t> &bytes)
@@ -76,6 +99,8 @@
         delta.revision = root.at("revision").get<std::uint64_t>();
         for (const json &item : root.at("ranges"))
             delta.changed.push_back(rangeOf(item));
+        for (const json &item : root.at("targets"))
+            delta.targets.push_back(entryOf(item));
         return delta;
     } catch (const json::exception &failure) {
         return Error{ErrorCode::ParseFailed, failure.what(), {}};
--- a/src/gateway/shard_delta.hpp
+++ b/src/gateway/shard_delta.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/shard_map.hpp"
+#include "gateway/target_directory.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,7 @@
     std::uint64_t write = 0; ///< Write that it leads to.
     std::uint64_t revision = 0; ///< Of the store, of that write.
     std::vector<ShardRange> changed; ///< In order.
+    std::vector<TargetEntry> targets; ///< New targets among the owners.
 };
 
 /// \brief What leads from one map to the next one of the same service.
@@ -31,6 +33,9 @@
 /// \brief The map that a delta leads to; nothing if it is not based on that map.
 [[nodiscard]] std::optional<ShardMap> applyDelta(const ShardMap &map, const ShardDelta &delta);
 
+/// \brief Adds the entries of owners that have become known within a span of time.
+void addNewTargets(ShardDelta &delta, const TargetDirectory &directory, TimePoint now);
+
 /// \brief Writes a delta as CBOR.
 [[nodiscard]] std::vector<std::uint8_t> encodeShardDelta(const ShardDelta &delta);
 /// \brief Reads a delta.
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -18,9 +18,8 @@
 constexpr Duration coldLook = std::chrono::milliseconds(30);
 /// Longest wait between two looks, should a wake-up be missed.
 constexpr Duration safetyLook = std::chrono::milliseconds(250);
-/// The leaving is learned up to 0.4 s after its acknowledgement, and a request takes its way;
-/// sending ends that much before the bound.
-constexpr Duration unwantedMargin = std::chrono::milliseconds(600);
+/// Sending to a leaving target ends that long before the bound, for the way of a request.
+constexpr Duration unwantedMargin = std::chrono::milliseconds(200);
 /// What another availability zone counts against a target, in requests per slot.
 constexpr double otherZonePenalty = 0.35;
 /// Usual time of a request while none was seen, in seconds.
@@ -42,15 +41,15 @@
     return found == gateway.routeSeconds.end() ? unknownRequestSeconds : found->second;
 }
 
-/// Whether new work for the target must end now.
-bool mustEnd(const Gateway &gateway, const Target &target)
+/// When new work for the target must end.
+TimePoint endOfSending(const Gateway &gateway, const Target &target)
 {
     const auto unwanted = gateway.directory.unwantedSince(target);
     if (!unwanted)
-        return false;
+        return TimePoint::max();
     const Duration allowed =
         target.leavingSince ? gateway.options.drainWithin : gateway.options.evacuateWithin;
-    return gateway.now() - *unwanted > allowed - unwantedMargin;
+    return *unwanted + allowed - unwantedMargin;
 }
 
 /// Waits in the lane of a target unless the wait would be in vain.
@@ -93,15 +92,16 @@
     const std::shared_ptr<LiveTarget> target = gateway.liveTarget(*owner);
     flow.fence = range->owner->fence;
     flow.target = owner->entry.id;
-    if (mustEnd(gateway, *owner))
-        return {Kind::Wait, target, EndReason::OwnerLeaves, {}, safetyLook};
     const TimePoint now = gateway.now();
+    const TimePoint sendBefore = endOfSending(gateway, *owner);
+    if (now >= sendBefore)
+        return {Kind::Wait, target, EndReason::OwnerLeaves, {}, safetyLook};
     if (target->gate.suspect(now))
         return reject(EndReason::TargetLost, ownerLostPause);
     if (owner->cold(now) && !target->gate.takeCold(now))
         return {Kind::Wait, target, EndReason::Overloaded, {}, coldLook};
     if (target->gate.hasRoom(now))
-        return {Kind::Send, target, EndReason::Answered, {}, {}};
+        return {Kind::Send, target, EndReason::Answered, {}, {}, sendBefore};
     return waitOrReject(gateway, flow, target, target->lane, target->gate.inFlight());
 }
 
--- a/src/gateway/target_choice.hpp
+++ b/src/gateway/target_choice.hpp
@@ -22,6 +22,7 @@
     EndReason reason = EndReason::NoTarget; ///< Why it waits or is rejected.
     Duration pause{}; ///< When to come back after a rejection.
     Duration lookAgain{}; ///< Longest wait until the next look.
+    TimePoint sendBefore = TimePoint::max(); ///< It must not be sent later.
 };
 
 /// \brief Chooses by the facts that the instance has now.
--- a/src/gateway/target_directory.cpp
+++ b/src/gateway/target_directory.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-bool TargetDirectory::put(const TargetEntry &entry, TimePoint now)
+bool TargetDirectory::put(const TargetEntry &entry, TimePoint now, TimePoint since)
 {
     m_missing.erase(entry.id);
     auto [found, isNew] = m_targets.try_emplace(entry.id);
@@ -31,8 +31,10 @@
         return false;
     const bool newLife = isNew || entry.incarnation > target.entry.incarnation;
     const bool changed = newLife || !target.listed || !sameButSequence(target.entry, entry);
-    if (newLife)
+    if (newLife) {
         target = Target{};
+        target.knownSince = now;
+    }
     if (newLife || entry.warmupLeft != target.entry.warmupLeft)
         target.coldUntil = now + entry.warmupLeft;
     target.entry = entry;
@@ -40,13 +42,20 @@
     if (!entry.draining)
         target.leavingSince.reset();
     else if (!target.leavingSince)
-        target.leavingSince = now;
+        target.leavingSince = since;
     if (changed)
         ++m_version;
     return changed;
 }
 
-void TargetDirectory::remove(std::string_view id, TimePoint now)
+void TargetDirectory::putUnknown(const TargetEntry &entry, TimePoint now)
+{
+    const Target *known = find(entry.id);
+    if (known == nullptr || known->entry.incarnation < entry.incarnation)
+        put(entry, now, now);
+}
+
+void TargetDirectory::remove(std::string_view id, TimePoint now, TimePoint since)
 {
     const auto found = m_targets.find(id);
     if (found == m_targets.end() || !found->second.listed)
@@ -57,20 +66,21 @@
     }
     found->second.listed = false;
     if (!found->second.leavingSince)
-        found->second.leavingSince = now;
+        found->second.leavingSince = since;
     ++m_version;
 }
 
-void TargetDirectory::replaceAll(const std::vector<TargetEntry> &entries, TimePoint now)
+void TargetDirectory::replaceAll(const std::vector<TargetEntry> &entries, TimePoint now,
+                                 TimePoint since)
 {
     std::set<std::string_view> present;
     for (const TargetEntry &entry : entries) {
         present.insert(entry.id);
-        put(entry, now);
+        put(entry, now, since);
     }
     for (const auto &[id, target] : m_targets) {
         if (target.listed && !present.contains(id))
-            remove(id, now);
+            remove(id, now, since);
     }
 }
 
@@ -84,7 +94,7 @@
         }
         const std::string id = missing->first;
         missing = m_missing.erase(missing);
-        remove(id, now);
+        remove(id, now, now);
         changed = true;
     }
     std::erase_if(m_targets, [now](const auto &item) {
@@ -99,12 +109,12 @@
     m_storeAwayUntil = std::max(m_storeAwayUntil, now + relistGrace);
 }
 
-void TargetDirectory::setEvacuated(const std::vector<std::string> &zones, TimePoint now)
+void TargetDirectory::setEvacuated(const std::vector<std::string> &zones, TimePoint since)
 {
     std::map<std::string, TimePoint, std::less<>> evacuated;
     for (const std::string &zone : zones) {
         const auto known = m_evacuated.find(zone);
-        evacuated.emplace(zone, known == m_evacuated.end() ? now : known->second);
+        evacuated.emplace(zone, known == m_evacuated.end() ? since : known->second);
     }
     if (evacuated == m_evacuated)
         return;
--- a/src/gateway/target_directory.hpp
+++ b/src/gateway/target_directory.hpp
@@ -31,8 +31,9 @@
 struct Target
 {
     TargetEntry entry;
+    TimePoint knownSince{}; ///< When this life was first seen.
     TimePoint coldUntil{}; ///< End of its cold span.
-    std::optional<TimePoint> leavingSince; ///< When its leaving was first known.
+    std::optional<TimePoint> leavingSince; ///< Earliest time at which it can have left.
     bool listed = true; ///< Whether the store lists it now.
 
     /// \brief Whether the target wants new work.
@@ -50,19 +51,24 @@
 {
 public:
     /// \brief Takes over an entry of the store.
+    /// \param since Earliest time at which the store can have taken the change; at most now. The
+    /// bound for sending to a leaving target counts from the store's answer to it.
     /// \returns Whether anything but the sequence changed.
-    bool put(const TargetEntry &entry, TimePoint now);
+    bool put(const TargetEntry &entry, TimePoint now, TimePoint since);
+    /// \brief Takes over an entry that another instance told of, unless this life is known already:
+    /// the store's own word is then at least as new.
+    void putUnknown(const TargetEntry &entry, TimePoint now);
     /// \brief The store no longer lists the target.
-    void remove(std::string_view id, TimePoint now);
+    void remove(std::string_view id, TimePoint now, TimePoint since);
     /// \brief A complete list of the store: targets that are not in it are removed.
-    void replaceAll(const std::vector<TargetEntry> &entries, TimePoint now);
+    void replaceAll(const std::vector<TargetEntry> &entries, TimePoint now, TimePoint since);
     /// \brief Ends the grace of missing entries and forgets targets that left long ago.
     /// \returns Whether a target was found to be leaving.
     bool tick(TimePoint now);
     /// \brief The store could not be reached until now.
     void storeAway(TimePoint now) noexcept;
     /// \brief The zones that are to receive nothing.
-    void setEvacuated(const std::vector<std::string> &zones, TimePoint now);
+    void setEvacuated(const std::vector<std::string> &zones, TimePoint since);
 
     /// \brief The target of that id, or null.
     [[nodiscard]] const Target *find(std::string_view id) const noexcept;
@@ -75,7 +81,7 @@
     }
     /// \brief Whether the zone is to receive nothing.
     [[nodiscard]] bool evacuated(std::string_view zone) const noexcept;
-    /// \brief When new work for the target was first known to be unwanted, if it is.
+    /// \brief Earliest time since which new work for the target may be unwanted, if it is.
     [[nodiscard]] std::optional<TimePoint> unwantedSince(const Target &target) const noexcept;
     /// \brief Whether the target may receive new work: it is ready and its zone is in service.
     [[nodiscard]] bool usable(const Target &target) const noexcept;
--- a/tests/gateway/placer_world.cpp
+++ b/tests/gateway/placer_world.cpp
@@ -42,7 +42,7 @@
     target.entry.address = "10.0.0." + std::to_string(m_targets.size()) + ":80";
     target.entry.zone = "z";
     target.entry.slots = 4;
-    m_directory.put(target.entry, m_now);
+    m_directory.put(target.entry, m_now, m_now);
     m_targets.push_back(target);
 }
 
@@ -85,7 +85,7 @@
 {
     SimTarget &target = m_targets[index];
     target.entry.draining = true;
-    m_directory.put(target.entry, m_now);
+    m_directory.put(target.entry, m_now, m_now);
     target.unlistAt = m_now + std::chrono::seconds(3);
     target.endAt = m_now + std::chrono::seconds(4);
 }
@@ -122,7 +122,7 @@
         if (m_now >= target.unlistAt) {
             target.unlistAt = TimePoint::max();
             target.listed = false;
-            m_directory.remove(target.entry.id, m_now);
+            m_directory.remove(target.entry.id, m_now, m_now);
         }
         if (m_now >= target.endAt) {
             target.endAt = TimePoint::max();
@@ -141,7 +141,7 @@
         }
         if (m_now >= target.newsAt) {
             target.newsAt = TimePoint::max();
-            m_directory.put(target.entry, m_now);
+            m_directory.put(target.entry, m_now, m_now);
         }
     }
     if (chance(m_faults.storeDown))
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -23,11 +23,26 @@
     return out;
 }
 
+/// DRAIN on hunt day scale-2 217040354903 of the grown deployment: the bound for sending counts
+/// from the store's answer to the target, which an instance learns of later.
+TEST(TargetDirectory, leavingCountsFromTheEarliestTimeThatItCanHaveBeenAcknowledged)
+{
+    TargetDirectory directory;
+    TargetEntry one = entry("t", 5);
+    directory.put(one, start, start);
+    one.draining = true;
+    directory.put(one, start + seconds(9), start + seconds(8));
+    EXPECT_EQ(directory.unwantedSince(*directory.find("t")), start + seconds(8));
+    directory.put(entry("u", 6), start, start);
+    directory.remove("u", start + seconds(9), start + seconds(7));
+    EXPECT_EQ(directory.unwantedSince(*directory.find("u")), start + seconds(7));
+}
+
 TEST(TargetDirectory, ignoresAnEntryOfAnEarlierLife)
 {
     TargetDirectory directory;
-    directory.put(entry("t", 5), start);
-    EXPECT_FALSE(directory.put(entry("t", 4), start));
+    directory.put(entry("t", 5), start, start);
+    EXPECT_FALSE(directory.put(entry("t", 4), start, start));
     EXPECT_EQ(directory.find("t")->entry.incarnation, 5);
 }
 
@@ -35,21 +50,21 @@
 {
     TargetDirectory directory;
     TargetEntry one = entry("t", 5);
-    EXPECT_TRUE(directory.put(one, start));
+    EXPECT_TRUE(directory.put(one, start, start));
     ++one.sequence;
-    EXPECT_FALSE(directory.put(one, start));
+    EXPECT_FALSE(directory.put(one, start, start));
 }
 
 TEST(TargetDirectory, drainingAndRemovedTargetsLeave)
 {
     TargetDirectory directory;
     TargetEntry one = entry("t", 5);
-    directory.put(one, start);
+    directory.put(one, start, start);
     one.draining = true;
-    directory.put(one, start + seconds(1));
+    directory.put(one, start + seconds(1), start + seconds(1));
     EXPECT_EQ(directory.find("t")->leavingSince, start + seconds(1));
-    directory.put(entry("u", 6), start);
-    directory.remove("u", start + seconds(2));
+    directory.put(entry("u", 6), start, start);
+    directory.remove("u", start + seconds(2), start + seconds(2));
     EXPECT_EQ(directory.find("u")->leavingSince, start + seconds(2));
     EXPECT_FALSE(directory.usable(*directory.find("u")));
 }
@@ -58,12 +73,12 @@
 TEST(TargetDirectory, waitsForEntriesAfterTheStoreWasAway)
 {
     TargetDirectory directory;
-    directory.put(entry("back", 1), start);
-    directory.put(entry("gone", 2), start);
+    directory.put(entry("back", 1), start, start);
+    directory.put(entry("gone", 2), start, start);
     directory.storeAway(start);
-    directory.replaceAll({}, start + milliseconds(100));
+    directory.replaceAll({}, start + milliseconds(100), start + milliseconds(100));
     EXPECT_TRUE(directory.find("back")->ready());
-    directory.put(entry("back", 1), start + milliseconds(1900));
+    directory.put(entry("back", 1), start + milliseconds(1900), start + milliseconds(1900));
     EXPECT_FALSE(directory.tick(start + milliseconds(2000)));
     EXPECT_TRUE(directory.find("gone")->ready());
     EXPECT_TRUE(directory.tick(start + milliseconds(2500)));
@@ -74,7 +89,7 @@
 TEST(TargetDirectory, evacuatedZonesAreNotUsable)
 {
     TargetDirectory directory;
-    directory.put(entry("t", 5), start);
+    directory.put(entry("t", 5), start, start);
     directory.setEvacuated({"a"}, start + seconds(1));
     EXPECT_FALSE(directory.usable(*directory.find("t")));
     EXPECT_EQ(directory.unwantedSince(*directory.find("t")), start + seconds(1));
@@ -87,8 +102,8 @@
 TEST(TargetDirectory, theLatestTargetAtAnAddressIsFound)
 {
     TargetDirectory directory;
-    directory.put(entry("old", 5), start);
-    directory.put(entry("new", 6), start);
+    directory.put(entry("old", 5), start, start);
+    directory.put(entry("new", 6), start, start);
     EXPECT_EQ(directory.findAddress("10.0.0.1:80")->entry.id, "new");
     EXPECT_EQ(directory.findAddress("10.0.0.2:80"), nullptr);
 }
@@ -98,11 +113,11 @@
     TargetDirectory directory;
     TargetEntry one = entry("t", 5);
     one.warmupLeft = seconds(3);
-    directory.put(one, start);
+    directory.put(one, start, start);
     EXPECT_TRUE(directory.find("t")->cold(start + seconds(2)));
     EXPECT_FALSE(directory.find("t")->cold(start + seconds(3)));
     one.warmupLeft = seconds(2);
-    directory.put(one, start + seconds(10));
+    directory.put(one, start + seconds(10), start + seconds(10));
     EXPECT_TRUE(directory.find("t")->cold(start + seconds(11)));
 }
 
