A write of an earlier term of the placer is not sent anew

Change: each hold of the lease has an id for what it places; loops and orders of an earlier one end. Also for the read that adopts a record.

Before: ControlPlacing.aWriteOfAnEarlierTermIsNotSentAnew fails (a record of term 1 over one of term 9). After: passes.

--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -30,6 +30,8 @@
     {
         return m_peers.answerState(request);
     }
+    /// \brief Whether this instance places now.
+    [[nodiscard]] bool places() const noexcept { return placing(); }
     /// \brief Gives the lease up and takes this instance's object out of the store.
     asio::awaitable<void> leave();
 
@@ -47,12 +49,12 @@
         Duration gather; ///< Pause between watches, in which changes gather; each watch is a call.
     };
 
+    /// Placing one service under one hold of the lease.
     struct Placing
     {
+        std::uint64_t id = 0; ///< Unique; what an earlier one began must not act on a later one.
         std::optional<ShardPlacer> placer;
-        std::uint64_t revision = 0;
-        bool loading = false;
-        bool writing = false;
+        std::uint64_t revision = 0; ///< Of the record in the store.
     };
 
     asio::awaitable<void> follow(Follower follower);
@@ -65,9 +67,10 @@
     asio::awaitable<void> take();
     asio::awaitable<void> renew();
     asio::awaitable<void> tickLoop();
-    asio::awaitable<void> adopt(std::string service);
-    asio::awaitable<void> store(std::string service, ShardMap map);
-    asio::awaitable<void> carryOut(std::string service, ShardOrder order);
+    asio::awaitable<void> adopt(std::string service, std::uint64_t id);
+    asio::awaitable<void> store(std::string service, std::uint64_t id, ShardMap map);
+    asio::awaitable<void> carryOut(std::string service, std::uint64_t id, ShardOrder order);
+    [[nodiscard]] Placing *findPlacing(const std::string &service, std::uint64_t id);
     asio::awaitable<void> pause(Duration span);
 
     void allTargets(const Objects &objects);
@@ -103,6 +106,7 @@
     std::map<ObjectKind, std::function<void()>> m_watchCancels; ///< Of the watches that wait.
     std::map<ObjectKind, bool> m_watchRestarted; ///< Whether the last one was ended by us.
     std::map<std::string, Placing, std::less<>> m_placing;
+    std::uint64_t m_lastPlacing = 0; ///< Id of the placing that was begun last.
     std::set<std::string, std::less<>> m_evacuated;
     std::map<std::string, std::string> m_instances; ///< Where they listen, by name.
     std::map<ObjectKind, std::uint64_t> m_revisions; ///< Of the store, that a kind was read at.
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -169,48 +169,59 @@
             for (const auto &[name, service] : m_gateway.desired->services) {
                 if (!service.keyed)
                     continue;
-                Placing &placing = m_placing[name];
-                if (placing.placer)
-                    place(name, placing);
-                else if (!std::exchange(placing.loading, true))
-                    asio::co_spawn(m_gateway.loop, adopt(name), asio::detached);
+                const auto [found, isNew] = m_placing.try_emplace(name);
+                if (isNew) {
+                    found->second.id = ++m_lastPlacing;
+                    asio::co_spawn(m_gateway.loop, adopt(name, found->second.id), asio::detached);
+                } else if (found->second.placer) {
+                    place(name, found->second);
+                }
             }
         }
         co_await pause(tickEvery);
     }
 }
 
-asio::awaitable<void> Control::adopt(std::string service)
+/// The placing of a service, unless the lease was lost since it began.
+Control::Placing *Control::findPlacing(const std::string &service, std::uint64_t id)
+{
+    const auto found = m_placing.find(service);
+    return found != m_placing.end() && found->second.id == id ? &found->second : nullptr;
+}
+
+asio::awaitable<void> Control::adopt(std::string service, std::uint64_t id)
 {
     const Result<StoredObject> found =
         co_await m_gateway.store.get(ObjectKind::ShardMaps, service, false);
-    const auto at = m_placing.find(service);
-    if (at == m_placing.end())
+    Placing *const placing = findPlacing(service, id);
+    if (placing == nullptr)
         co_return;
-    Placing &placing = at->second;
-    placing.loading = false;
     const bool absent = !found && found.error().code == ErrorCode::NotFound;
-    if (!found && !absent)
+    if (!found && !absent) {
+        // The next look begins anew.
+        m_placing.erase(service);
         co_return;
+    }
     std::optional<ShardMap> stored;
     if (found) {
         Result<ShardMap> map = decodeShardMap(found->text);
         if (!map) {
             m_gateway.log.write("placement", "bad-map", {{"error", map.error().text}});
+            m_placing.erase(service);
             co_return;
         }
         stored = std::move(*map);
     }
     PlacerTiming timing;
     timing.hold = std::min(timing.hold, m_gateway.options.holdMost);
-    placing.revision = found ? found->revision : 0;
-    placing.placer = ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
-    placing.placer->adopt(stored, m_gateway.now());
+    placing->revision = found ? found->revision : 0;
+    placing->placer = ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
+    placing->placer->adopt(stored, m_gateway.now());
     m_gateway.log.write("placement", "adopted",
                         {{"service", service},
-                         {"revision", placing.revision},
+                         {"revision", placing->revision},
                          {"ranges", stored ? stored->ranges.size() : 0}});
-    place(service, placing);
+    place(service, *placing);
 }
 
 void Control::place(const std::string &service, Placing &placing)
@@ -233,23 +244,22 @@
                              {"reason", note.reason}});
     }
     for (ShardOrder &order : out.orders)
-        asio::co_spawn(m_gateway.loop, carryOut(service, std::move(order)), asio::detached);
+        asio::co_spawn(m_gateway.loop, carryOut(service, placing.id, std::move(order)), asio::detached);
     if (out.write)
-        asio::co_spawn(m_gateway.loop, store(service, std::move(*out.write)), asio::detached);
+        asio::co_spawn(m_gateway.loop, store(service, placing.id, std::move(*out.write)), asio::detached);
 }
 
-asio::awaitable<void> Control::store(std::string service, ShardMap map)
+asio::awaitable<void> Control::store(std::string service, std::uint64_t id, ShardMap map)
 {
     const std::string text = encodeShardMap(map);
     while (placing()) {
-        const auto at = m_placing.find(service);
-        if (at == m_placing.end() || !at->second.placer)
+        Placing *placing = findPlacing(service, id);
+        if (placing == nullptr)
             co_return;
-        const std::uint64_t before = at->second.revision;
         const WriteResult written =
-            co_await m_gateway.store.put(ObjectKind::ShardMaps, service, text, before);
-        const auto after = m_placing.find(service);
-        if (after == m_placing.end() || !after->second.placer)
+            co_await m_gateway.store.put(ObjectKind::ShardMaps, service, text, placing->revision);
+        placing = findPlacing(service, id);
+        if (placing == nullptr)
             co_return;
         bool stored = written.end == WriteEnd::Stored;
         if (written.end == WriteEnd::Conflict) {
@@ -261,8 +271,8 @@
             }
         }
         if (stored) {
-            after->second.revision = written.object.revision;
-            after->second.placer->writeDone(m_gateway.now());
+            placing->revision = written.object.revision;
+            placing->placer->writeDone(m_gateway.now());
             const auto known = m_gateway.shardMaps.find(service);
             const ShardMap before =
                 known == m_gateway.shardMaps.end() ? ShardMap{} : known->second.map;
@@ -270,14 +280,14 @@
             addNewTargets(delta, m_gateway.directory, m_gateway.now());
             m_peers.tellPeers(delta);
             m_gateway.apply(map, written.object.revision);
-            place(service, after->second);
+            place(service, *placing);
             co_return;
         }
         co_await pause(storePause);
     }
 }
 
-asio::awaitable<void> Control::carryOut(std::string service, ShardOrder order)
+asio::awaitable<void> Control::carryOut(std::string service, std::uint64_t id, ShardOrder order)
 {
     const Target *target = m_gateway.directory.find(order.holder.target);
     OrderOutcome outcome = OrderOutcome::NotSent;
@@ -307,12 +317,12 @@
                              {"tookMs", Milliseconds(m_gateway.now() - sentAt).count()},
                              {"outcome", toString(outcome)}});
     }
-    const auto at = m_placing.find(service);
-    if (at == m_placing.end() || !at->second.placer)
+    Placing *const placing = findPlacing(service, id);
+    if (placing == nullptr)
         co_return;
-    at->second.placer->orderDone(order.id, outcome, handover, m_gateway.now());
+    placing->placer->orderDone(order.id, outcome, handover, m_gateway.now());
     if (noteworthy)
-        place(service, at->second);
+        place(service, *placing);
 }
 
 } // namespace yuccaspan::gateway
--- /dev/null
+++ b/tests/gateway/test_control_placing.cpp
@@ -0,0 +1,189 @@
+#include "gateway/boottime_clock.hpp"
+#include "gateway/control.hpp"
+#include "gateway/placer_lease.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+class SilentLog final : public DecisionLog
+{
+public:
+    void write(std::string_view /*part*/, std::string /*text*/) noexcept override { }
+    [[nodiscard]] bool wantsRouting() const noexcept override { return false; }
+    [[nodiscard]] std::uint64_t dropped() const noexcept override { return 0; }
+    [[nodiscard]] std::uint64_t written() const noexcept override { return 0; }
+};
+
+class PlainProtocol final : public TargetProtocol
+{
+public:
+    [[nodiscard]] CallerFacts readCaller(const HttpRequest & /*request*/) const override
+    {
+        return {};
+    }
+    void address(HttpRequest & /*request*/, Duration /*left*/,
+                 const std::string & /*target*/) const override
+    { }
+    [[nodiscard]] AnswerFacts readAnswer(const HttpResponse & /*response*/) const override
+    {
+        return {};
+    }
+    [[nodiscard]] HttpRequest order(const ShardOrder & /*order*/) const override { return {}; }
+    [[nodiscard]] std::string handover(const HttpResponse & /*response*/) const override
+    {
+        return {};
+    }
+    void retryAfter(HttpResponse & /*response*/, Duration /*pause*/) const override { }
+};
+
+/// One keyed service with one target that nobody can reach.
+class OneServiceCodec final : public PlatformCodec
+{
+public:
+    [[nodiscard]] Result<TargetEntry> target(const StoredObject &object) const override
+    {
+        TargetEntry entry;
+        entry.id = object.name;
+        entry.incarnation = 1;
+        entry.service = "s";
+        entry.address = "127.0.0.1:1";
+        return entry;
+    }
+    [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
+    {
+        DesiredState state;
+        state.version = object.revision;
+        Service service;
+        service.name = "s";
+        service.keyed = true;
+        state.services.emplace("s", service);
+        return state;
+    }
+};
+
+/// A store whose lease can be switched off, and whose first write of a shard map hangs until it is
+/// let go.
+class HangingStore final : public MetadataStore
+{
+public:
+    explicit HangingStore(asio::io_context &loop) : m_loop(loop) { }
+
+    asio::awaitable<Result<StoredObjects>> list(ObjectKind kind) override
+    {
+        StoredObjects objects;
+        objects.revision = revision;
+        if (kind == ObjectKind::Targets)
+            objects.objects.push_back({"t", 3, false, nullptr, {}});
+        if (kind == ObjectKind::Settings)
+            objects.objects.push_back({"main", 3, false, nullptr, {}});
+        co_return objects;
+    }
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, std::uint64_t /*revision*/,
+                                                 Duration wait, CancelSink onCancel) override
+    {
+        asio::steady_timer timer(m_loop, wait);
+        onCancel([&timer] { timer.cancel(); });
+        co_await timer.async_wait(asTuple);
+        onCancel({});
+        co_return Error{ErrorCode::Timeout, "silent", {}};
+    }
+    asio::awaitable<Result<StoredObject>> get(ObjectKind kind, const std::string & /*name*/,
+                                              bool /*maybeOld*/) override
+    {
+        const StoredObject &object = kind == ObjectKind::Leases ? lease : map;
+        if (object.revision == 0)
+            co_return Error{ErrorCode::NotFound, "none", {}};
+        co_return object;
+    }
+    asio::awaitable<WriteResult> put(ObjectKind kind, const std::string &name,
+                                     const std::string &text, std::uint64_t expected) override
+    {
+        if (kind == ObjectKind::Instances)
+            co_return WriteResult{WriteEnd::Stored, {}};
+        if (kind == ObjectKind::Leases && !leaseUp)
+            co_return WriteResult{WriteEnd::Refused, {}};
+        if (kind == ObjectKind::ShardMaps && ++mapWrites == 1) {
+            while (!letGo) {
+                asio::steady_timer timer(m_loop, std::chrono::milliseconds(10));
+                co_await timer.async_wait(asTuple);
+            }
+            co_return WriteResult{WriteEnd::Refused, {}};
+        }
+        StoredObject &object = kind == ObjectKind::Leases ? lease : map;
+        if (object.revision != expected)
+            co_return WriteResult{WriteEnd::Conflict, object};
+        object = {name, ++revision, false, nullptr, text};
+        if (kind == ObjectKind::ShardMaps)
+            storedMaps.push_back(*decodeShardMap(text));
+        co_return WriteResult{WriteEnd::Stored, object};
+    }
+    asio::awaitable<WriteResult> remove(ObjectKind /*kind*/, const std::string & /*name*/,
+                                        std::uint64_t /*revision*/) override
+    {
+        co_return WriteResult{};
+    }
+
+    std::uint64_t revision = 7;
+    StoredObject lease;
+    StoredObject map;
+    bool leaseUp = true;
+    bool letGo = false;
+    int mapWrites = 0;
+    std::vector<ShardMap> storedMaps;
+
+private:
+    asio::io_context &m_loop;
+};
+
+/// OWNER on hunt day scale-1 503810266030 of the grown deployment: a write that hung while the lease
+/// was lost and taken again was sent anew over the record of the later term, with its old owners.
+TEST(ControlPlacing, aWriteOfAnEarlierTermIsNotSentAnew)
+{
+    asio::io_context loop;
+    const BoottimeClock clock;
+    EventLog log(std::make_unique<SilentLog>(), clock, "a");
+    PlainProtocol protocol;
+    OneServiceCodec codec;
+    HangingStore store(loop);
+    GatewayOptions options;
+    options.name = "a";
+    Gateway gateway(loop, clock, log, protocol, store, codec, options);
+    Control control(gateway, "1");
+    ASSERT_TRUE(control.start());
+    const auto runUntil = [&loop](const auto &condition) {
+        for (int step = 0; step < 400 && !condition(); ++step)
+            loop.run_for(std::chrono::milliseconds(50));
+        return condition();
+    };
+    ASSERT_TRUE(runUntil([&] { return store.mapWrites == 1; }));
+    store.leaseUp = false;
+    ASSERT_TRUE(runUntil([&] { return !control.places(); }));
+    // Another placer wrote in between.
+    ShardMap others;
+    others.service = "s";
+    others.placer = "b/1";
+    others.term = 9;
+    others.write = 50;
+    others.lastFence = 982;
+    others.ranges.push_back({{0, lastKey}, Holder{"t", 1, 982}, std::nullopt});
+    store.map = {"s", ++store.revision, false, nullptr, encodeShardMap(others)};
+    store.leaseUp = true;
+    ASSERT_TRUE(runUntil([&] { return !store.storedMaps.empty(); }));
+    store.letGo = true;
+    loop.run_for(std::chrono::milliseconds(600));
+    for (const ShardMap &map : store.storedMaps) {
+        EXPECT_GE(map.lastFence, 982U);
+        EXPECT_EQ(map.term, 10U);
+    }
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
