--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -8,8 +8,9 @@
 
 using Kind = TargetChoice::Kind;
 
-/// A planned move takes far less; a longer one waits for a lost owner's grants to lapse.
-constexpr Duration longestMove = std::chrono::milliseconds(700);
+/// Three of four moves of hot keys take 0.8 s at most (grown deployments); a longer one mostly waits
+/// for the grants of a lost owner to lapse.
+constexpr Duration longestMove = std::chrono::milliseconds(1100);
 /// When to come back if the owner of a key is lost: grants lapse within seconds.
 constexpr Duration ownerLostPause = std::chrono::milliseconds(400);
 /// When to come back if no target can be used.
