Keys of a target that started again after a takeover stay with it

Cause: after a takeover, grants of the placer before may yet reach a later life, so a release by it proves nothing until they would have lapsed. Change: while in doubt the later life itself is the next owner; nobody else can hold the keys beside it. Before: aLaterLifeServesWhileGrantsToItAreInDoubt fails.

--- a/src/gateway/shard_map.hpp
+++ b/src/gateway/shard_map.hpp
@@ -63,6 +63,12 @@
     {
         return owner && next && owner->sameLife(*next);
     }
+    /// \brief Whether the keys go to a later life of their owner, which nobody else can hold them
+    /// beside.
+    [[nodiscard]] bool toLaterLife() const noexcept
+    {
+        return owner && next && owner->target == next->target && !refencing();
+    }
     [[nodiscard]] friend bool operator==(const ShardRange &, const ShardRange &) = default;
 };
 
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -78,7 +78,7 @@
             slot.hold = {lapse, lapse, lapse};
         if (range.next) {
             slot.nextHold = {lapse, lapse, lapse};
-            const bool release = range.owner && !range.refencing();
+            const bool release = range.owner && !range.refencing() && !range.toLaterLife();
             slot.stage = release ? Stage::Releasing : Stage::Granting;
         }
         m_slots.push_back(std::move(slot));
@@ -149,7 +149,8 @@
         if (slot.needsWrite)
             continue;
         if (slot.stage == Stage::AwaitIntent) {
-            const bool release = slot.range.owner && !slot.released && !slot.range.refencing();
+            const bool release = slot.range.owner && !slot.released && !slot.range.refencing()
+                && !slot.range.toLaterLife();
             slot.stage = release ? Stage::Releasing : Stage::Granting;
             slot.dueAt = now;
         } else if (slot.stage == Stage::AwaitSettle) {
@@ -371,8 +372,11 @@
             until = std::max(flight.holdBefore, std::min(until, now + heldFromArrival()));
         if (toNext && slot.stage == Stage::Granting) {
             const bool refenced = slot.range.refencing();
+            const bool laterLife = slot.range.toLaterLife();
             slot.range.owner = std::exchange(slot.range.next, std::nullopt);
-            if (!refenced)
+            if (laterLife)
+                slot.hold.doubtUntil = slot.hold.laterLifeDoubtUntil;
+            else if (!refenced)
                 slot.hold = {};
             slot.hold.include(slot.nextHold);
             slot.released = false;
--- a/src/gateway/shard_plan.cpp
+++ b/src/gateway/shard_plan.cpp
@@ -260,15 +260,21 @@
             }
         }
         const double work = view.load.rate(m_slots[index].range.keys, now);
-        const auto receiver = chooseReceiver(standings, work);
+        auto receiver = chooseReceiver(standings, work);
         if (!receiver)
             continue;
+        // While grants may yet reach the later life of an owner, it alone can be given the keys.
+        const bool startedAgain = owner && hasLaterLife(*owner, view.directory)
+            && now < m_slots[index].hold.laterLifeDoubtUntil && standings.contains(owner->target);
+        if (startedAgain)
+            receiver = owner->target;
         if (owner && isReplaced(*owner, view.directory)) {
             m_slots[index].released = true;
             m_slots[index].hold.until = now;
         }
-        beginMove(index, *view.directory.find(*receiver), ended ? "owner ended" : "owner leaves",
-                  out);
+        const std::string_view gone = ended ? "owner ended" : "owner leaves";
+        beginMove(index, *view.directory.find(*receiver),
+                  startedAgain ? "owner started again" : gone, out);
         standings[*receiver].work += work;
         standings[*receiver].keys += m_slots[index].range.keys.size();
     }
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -8,8 +8,8 @@
 
 using Kind = TargetChoice::Kind;
 
-/// Three of four moves of hot keys take 0.8 s at most (grown deployments); a longer one mostly waits
-/// for the grants of a lost owner to lapse.
+/// Three of four moves of hot keys take 0.8 s at most (grown deployments); a longer one mostly
+/// waits for the grants of a lost owner to lapse.
 constexpr Duration longestMove = std::chrono::milliseconds(1100);
 /// When to come back if the owner of a key is lost: grants lapse within seconds.
 constexpr Duration ownerLostPause = std::chrono::milliseconds(400);
--- a/tests/gateway/placer_world.cpp
+++ b/tests/gateway/placer_world.cpp
@@ -160,6 +160,12 @@
     m_adoptAt = m_now + std::chrono::milliseconds(m_random() % 3000);
 }
 
+void PlacerWorld::replacePlacer(Duration adoptsIn)
+{
+    takeOver();
+    m_adoptAt = m_now + adoptsIn;
+}
+
 PlacerWorld::SimTarget *PlacerWorld::find(const std::string &id)
 {
     for (SimTarget &target : m_targets) {
--- a/tests/gateway/placer_world.hpp
+++ b/tests/gateway/placer_world.hpp
@@ -67,6 +67,9 @@
     /// \param down Until its later life answers.
     /// \param news From then until the directory knows of it.
     void restartTarget(std::size_t index, Duration down, Duration news);
+    /// \brief Another placer takes over.
+    /// \param adoptsIn Until it has read the record.
+    void replacePlacer(Duration adoptsIn);
     void addTarget();
     [[nodiscard]] TimePoint now() const noexcept { return m_now; }
     /// \brief The stored record and the targets as text, for a failed run.
--- a/tests/gateway/test_shard_placer.cpp
+++ b/tests/gateway/test_shard_placer.cpp
@@ -90,6 +90,21 @@
     EXPECT_EQ(world.heldKeys(), PlacerWorld::sampledKeys());
 }
 
+/// Load pattern: a zone's targets start again just after a takeover (umurinzi-gw-grown trouble-1).
+/// The placer before may have sent grants that are yet to be carried out; keys need not stay
+/// closed.
+TEST(ShardPlacer, aLaterLifeServesWhileGrantsToItAreInDoubt)
+{
+    PlacerWorld world(1, 6, {});
+    world.run(seconds(4));
+    world.replacePlacer(milliseconds(200));
+    world.run(milliseconds(500));
+    world.restartTarget(2, milliseconds(300), milliseconds(100));
+    world.run(milliseconds(900));
+    EXPECT_EQ(world.violation(), "");
+    EXPECT_EQ(world.heldKeys(), PlacerWorld::sampledKeys());
+}
+
 TEST(ShardPlacer, aNewTargetGetsKeys)
 {
     PlacerWorld world(1, 6, {});
