--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -31,6 +31,6 @@
 
 # Project sources that are formatted and checked.
 project_sources() {
-    git ls-files --cached --others --exclude-standard -- 'include/*.hpp' 'src/*.hpp' 'src/*.cpp' 'platform/*.?pp' 'standins/*.?pp' 'bench/*.?pp' 'tests/*.?pp' 'examples/*.cpp' |
+    git ls-files --cached --others --exclude-standard -- 'include/*.hpp' 'src/*.hpp' 'src/*.cpp' 'platform/*.?pp' 'standins/*.?pp' 'soak/*.?pp' 'bench/*.?pp' 'tests/*.?pp' 'examples/*.cpp' |
         while read -r file; do [ -f "$file" ] && echo "$file"; done
 }
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -114,7 +114,7 @@
 
 std::string Deployment::writeSettings(const Instance &instance) const
 {
-    const std::string path = m_options.folder + '/' + instance.name + ".json";
+    std::string path = m_options.folder + '/' + instance.name + ".json";
     std::ofstream(path) << Json{
         {"name", instance.name},
         {"zone", instance.zone},
