The earliest time of a change allows for the way of an answer

Change: an answer within a second of its question shows changes since the one before; half a second is taken off for the way, from which on the users' rules count a machine as slowed. Before: ChangeTime.anAnswerOnAFullLinkShowsChangesSinceTheOneBefore fails by construction (the former rule gave now - 150 ms). After: passes.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -1,5 +1,7 @@
 #include "gateway/control.hpp"
 
+#include "gateway/change_time.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -24,9 +26,6 @@
 constexpr double mostPartOfDrain = 0.4;
 /// The placer tells its peers of each write; the store is for those that it did not reach.
 constexpr Duration gatherMaps = std::chrono::milliseconds(1500);
-/// A watch that was answered later than that after it was sent had nothing to tell at first: the
-/// store answers within 4 ms (site files), and the list of 200 targets takes 80 ms at 10 Mbit/s.
-constexpr Duration promptAnswer = std::chrono::milliseconds(150);
 /// The number of instances only divides budgets.
 constexpr Duration gatherInstances = std::chrono::milliseconds(1000);
 
@@ -135,13 +134,12 @@
     }
 }
 
-/// Notes since when the changes of an answer may hold: a watch that waited tells of one that has
-/// just come; others came at any time since the answer before.
+/// Notes since when the changes of an answer may hold.
 void Control::noteChanged(ObjectKind kind, TimePoint askedAt)
 {
     const TimePoint now = m_gateway.now();
     TimePoint &answeredAt = m_answeredAt.try_emplace(kind, now).first->second;
-    m_changedSince = now - askedAt > promptAnswer ? now - promptAnswer : answeredAt;
+    m_changedSince = earliestChange(now, askedAt, answeredAt);
     answeredAt = now;
 }
 
