Whoever doubts its shard map reads it from the store, not from the placer

Change: a missed change or a disowned key shortens the pause before the next watch of the maps to 0.5 s; peers are asked only while the store turns an instance away.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -26,6 +26,8 @@
 constexpr double mostPartOfDrain = 0.4;
 /// The placer tells its peers of each write; the store is for those that it did not reach.
 constexpr Duration gatherMaps = std::chrono::milliseconds(1500);
+/// The same for an instance whose map seems to be old.
+constexpr Duration doubtedGather = std::chrono::milliseconds(500);
 /// The number of instances only divides budgets.
 constexpr Duration gatherInstances = std::chrono::milliseconds(1000);
 
@@ -180,7 +182,7 @@
             for (const StoredObject &object : changes->objects)
                 (this->*follower.change)(object);
             if (!changes->objects.empty())
-                co_await pause(gatherFor(follower));
+                co_await gather(follower);
             continue;
         }
         if (changes.error().code == ErrorCode::LimitExceeded) {
@@ -196,6 +198,23 @@
     }
 }
 
+/// Lets changes gather. Whoever doubts its shard map reads it from the store soon: a placer that
+/// answers 27 instances with 90 kB each fills a link of 10 Mbit/s.
+asio::awaitable<void> Control::gather(const Follower &follower)
+{
+    if (follower.kind != ObjectKind::ShardMaps) {
+        co_await pause(gatherFor(follower));
+        co_return;
+    }
+    m_gateway.mapDoubted = false;
+    const TimePoint end = m_gateway.now() + follower.gather;
+    while (m_gateway.now() < end) {
+        co_await pause(doubtedGather);
+        if (m_gateway.mapDoubted)
+            co_return;
+    }
+}
+
 Duration Control::gatherFor(const Follower &follower) const noexcept
 {
     if (follower.kind != ObjectKind::Targets || placing())
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -60,6 +60,7 @@
     asio::awaitable<void> follow(Follower follower);
     asio::awaitable<bool> listAll(const Follower &follower, std::uint64_t &revision);
     void noteChanged(ObjectKind kind, TimePoint askedAt);
+    asio::awaitable<void> gather(const Follower &follower);
     [[nodiscard]] Duration gatherFor(const Follower &follower) const noexcept;
     asio::awaitable<void> registerInstance();
     asio::awaitable<void> keepLease();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -90,7 +90,7 @@
     std::uint32_t instances = 1; ///< Instances that are known, this one included.
     bool stopping = false;
     bool targetsKnown = false;
-    bool mapDoubted = false; ///< A target disowned a key that a shard map gives it.
+    bool mapDoubted = false; ///< A target disowned a key, or a change of a shard map was missed.
     std::uint64_t sessions = 0;
     std::uint64_t active = 0; ///< Requests that were read and are not answered.
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -18,7 +18,7 @@
 
 /// Hot spans are to be found within a second.
 constexpr Duration reportEvery = std::chrono::milliseconds(200);
-/// Between two questions to peers, while the store is away or a target disowned a key.
+/// How long a store must be away until peers are asked, and between two questions.
 constexpr Duration askEvery = std::chrono::milliseconds(250);
 constexpr Duration askTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerIdle = std::chrono::seconds(3);
@@ -105,7 +105,7 @@
     if (map)
         m_gateway.apply(std::move(*map), delta.revision);
     else
-        asio::co_spawn(m_gateway.loop, askPlacer(), asio::detached);
+        m_gateway.mapDoubted = true;
 }
 
 asio::awaitable<void> PeerLink::takeMessages()
@@ -156,13 +156,8 @@
     while (true) {
         timer.expires_after(askEvery);
         co_await timer.async_wait(asTuple);
-        if (m_peers.size() < 2)
+        if (!m_hooks.storeAway() || m_peers.size() < 2)
             continue;
-        if (!m_hooks.storeAway()) {
-            if (std::exchange(m_gateway.mapDoubted, false))
-                co_await askPlacer();
-            continue;
-        }
         auto peer = m_peers.begin();
         std::advance(peer, static_cast<std::ptrdiff_t>(m_nextPeer++ % m_peers.size()));
         if (peer->first != m_gateway.options.name)
@@ -170,13 +165,6 @@
     }
 }
 
-asio::awaitable<void> PeerLink::askPlacer()
-{
-    const auto placer = m_peers.find(m_hooks.placer());
-    if (placer != m_peers.end() && !m_hooks.placesHere())
-        co_await ask(placer->second);
-}
-
 asio::awaitable<void> PeerLink::ask(std::string address)
 {
     const SharedState known = m_hooks.state();
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -59,7 +59,6 @@
     asio::awaitable<void> reportLoad();
     asio::awaitable<void> takeMessages();
     asio::awaitable<void> askPeers();
-    asio::awaitable<void> askPlacer();
     asio::awaitable<void> ask(std::string address);
     void learn(const std::string &answer);
     void note(const LoadMessage &message);
