--- a/tests/gateway/test_control.cpp
+++ b/tests/gateway/test_control.cpp
@@ -1,5 +1,6 @@
 #include "gateway/boottime_clock.hpp"
 #include "gateway/control.hpp"
+#include "gateway/control_doubles.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,37 +14,6 @@
 
 namespace {
 
-class SilentLog final : public DecisionLog
-{
-public:
-    void write(std::string_view /*part*/, std::string /*text*/) noexcept override { }
-    [[nodiscard]] bool wantsRouting() const noexcept override { return false; }
-    [[nodiscard]] std::uint64_t dropped() const noexcept override { return 0; }
-    [[nodiscard]] std::uint64_t written() const noexcept override { return 0; }
-};
-
-class NoProtocol final : public TargetProtocol
-{
-public:
-    [[nodiscard]] CallerFacts readCaller(const HttpRequest & /*request*/) const override
-    {
-        return {};
-    }
-    void address(HttpRequest & /*request*/, Duration /*left*/,
-                 const std::string & /*target*/) const override
-    { }
-    [[nodiscard]] AnswerFacts readAnswer(const HttpResponse & /*response*/) const override
-    {
-        return {};
-    }
-    [[nodiscard]] HttpRequest order(const ShardOrder & /*order*/) const override { return {}; }
-    [[nodiscard]] std::string handover(const HttpResponse & /*response*/) const override
-    {
-        return {};
-    }
-    void retryAfter(HttpResponse & /*response*/, Duration /*pause*/) const override { }
-};
-
 class NoCodec final : public PlatformCodec
 {
 public:
--- a/tests/gateway/test_control_placing.cpp
+++ b/tests/gateway/test_control_placing.cpp
@@ -1,6 +1,6 @@
 #include "gateway/boottime_clock.hpp"
 #include "gateway/control.hpp"
-#include "gateway/placer_lease.hpp"
+#include "gateway/control_doubles.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
@@ -12,37 +12,6 @@
 
 namespace {
 
-class SilentLog final : public DecisionLog
-{
-public:
-    void write(std::string_view /*part*/, std::string /*text*/) noexcept override { }
-    [[nodiscard]] bool wantsRouting() const noexcept override { return false; }
-    [[nodiscard]] std::uint64_t dropped() const noexcept override { return 0; }
-    [[nodiscard]] std::uint64_t written() const noexcept override { return 0; }
-};
-
-class PlainProtocol final : public TargetProtocol
-{
-public:
-    [[nodiscard]] CallerFacts readCaller(const HttpRequest & /*request*/) const override
-    {
-        return {};
-    }
-    void address(HttpRequest & /*request*/, Duration /*left*/,
-                 const std::string & /*target*/) const override
-    { }
-    [[nodiscard]] AnswerFacts readAnswer(const HttpResponse & /*response*/) const override
-    {
-        return {};
-    }
-    [[nodiscard]] HttpRequest order(const ShardOrder & /*order*/) const override { return {}; }
-    [[nodiscard]] std::string handover(const HttpResponse & /*response*/) const override
-    {
-        return {};
-    }
-    void retryAfter(HttpResponse & /*response*/, Duration /*pause*/) const override { }
-};
-
 /// One keyed service with one target that nobody can reach.
 class OneServiceCodec final : public PlatformCodec
 {
@@ -145,7 +114,7 @@
     asio::io_context loop;
     const BoottimeClock clock;
     EventLog log(std::make_unique<SilentLog>(), clock, "a");
-    PlainProtocol protocol;
+    NoProtocol protocol;
     OneServiceCodec codec;
     HangingStore store(loop);
     GatewayOptions options;
