--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -31,7 +31,7 @@
         return m_peers.answerState(request);
     }
     /// \brief Whether this instance places now.
-    [[nodiscard]] bool places() const noexcept { return placing(); }
+    [[nodiscard]] bool placing() const noexcept;
     /// \brief Gives the lease up and takes this instance's object out of the store.
     asio::awaitable<void> leave();
 
@@ -95,7 +95,6 @@
     [[nodiscard]] PeerLink::Hooks peerHooks();
     [[nodiscard]] SharedState sharedState() const;
     [[nodiscard]] double slowness(const Target &target) const;
-    [[nodiscard]] bool placing() const noexcept;
 
     Gateway &m_gateway;
     std::string m_start;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,6 +74,12 @@
     return found->second;
 }
 
+double Gateway::usualSeconds(const std::string &route, double otherwise) const
+{
+    const auto found = routeSeconds.find(route);
+    return found == routeSeconds.end() ? otherwise : found->second;
+}
+
 void Gateway::apply(std::shared_ptr<const DesiredState> state)
 {
     desired = std::move(state);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -101,6 +101,9 @@
     [[nodiscard]] std::shared_ptr<LiveTarget> liveTarget(const Target &target);
     /// \brief The live state of a service, made on first use.
     [[nodiscard]] LiveService &liveService(const std::string &name);
+    /// \brief Usual time of a route's requests, in seconds.
+    /// \param otherwise While none was seen.
+    [[nodiscard]] double usualSeconds(const std::string &route, double otherwise) const;
     /// \brief Puts a newer desired state in force.
     void apply(std::shared_ptr<const DesiredState> state);
     /// \brief Takes over a shard map unless it is older than the known one.
--- a/src/gateway/key_load.cpp
+++ b/src/gateway/key_load.cpp
@@ -1,5 +1,7 @@
 #include "gateway/key_load.hpp"
 
+#include "gateway/time_span.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,11 +14,6 @@
 /// Beyond it the stored figures lose precision.
 constexpr double maxDecades = 20.0;
 
-double secondsBetween(TimePoint from, TimePoint to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
 } // namespace
 
 double KeyLoad::scale(TimePoint now) const
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -193,9 +193,7 @@
         if (!keyed || !m_flow->facts.key)
             return;
         constexpr double unknownSeconds = 0.1;
-        const auto usual = m_gateway.routeSeconds.find(m_flow->route->name);
-        const double seconds =
-            usual == m_gateway.routeSeconds.end() ? unknownSeconds : usual->second;
+        const double seconds = m_gateway.usualSeconds(m_flow->route->name, unknownSeconds);
         m_gateway.seenLoad.addWork(m_flow->service, *m_flow->facts.key / KeyLoad::keysPerBucket,
                                    seconds);
     }
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -206,6 +206,8 @@
     heaviestMovable(const std::string &owner, const PlacementView &view, TimePoint now) const;
     void beginMove(std::size_t slot, const Target &receiver, std::string_view reason,
                    PlacerOutput &out);
+    void giveTo(const std::string &receiver, std::size_t slot, double work, std::string_view reason,
+                const PlacementView &view, Standings &standings, PlacerOutput &out);
     void splitSlot(std::size_t slot, std::uint32_t firstOfSecond);
     void mergeNeighbours();
     void refenceNeighbours(PlacerOutput &out, TimePoint now);
--- a/src/gateway/shard_plan.cpp
+++ b/src/gateway/shard_plan.cpp
@@ -218,6 +218,17 @@
                                    std::min(most, std::max<std::size_t>(standings.size(), 1)));
 }
 
+/// Begins a move and counts its keys and their work with the receiver from now on.
+void ShardPlacer::giveTo(const std::string &receiver, std::size_t index, double work,
+                         std::string_view reason, const PlacementView &view, Standings &standings,
+                         PlacerOutput &out)
+{
+    Standing &taker = standings[receiver];
+    taker.work += work;
+    taker.keys += m_slots[index].range.keys.size();
+    beginMove(index, *view.directory.find(receiver), reason, out);
+}
+
 void ShardPlacer::reassignUnusable(const PlacementView &view, Standings &standings,
                                    PlacerOutput &out, TimePoint now)
 {
@@ -251,11 +262,8 @@
                     break;
                 splitSlot(index, at);
                 const double work = view.load.rate(m_slots[index].range.keys, now);
-                if (const auto receiver = chooseReceiver(standings, work)) {
-                    beginMove(index, *view.directory.find(*receiver), "owner leaves", out);
-                    standings[*receiver].work += work;
-                    standings[*receiver].keys += m_slots[index].range.keys.size();
-                }
+                if (const auto receiver = chooseReceiver(standings, work))
+                    giveTo(*receiver, index, work, "owner leaves", view, standings, out);
                 ++index;
             }
         }
@@ -273,10 +281,8 @@
             m_slots[index].hold.until = now;
         }
         const std::string_view gone = ended ? "owner ended" : "owner leaves";
-        beginMove(index, *view.directory.find(*receiver),
-                  startedAgain ? "owner started again" : gone, out);
-        standings[*receiver].work += work;
-        standings[*receiver].keys += m_slots[index].range.keys.size();
+        giveTo(*receiver, index, work, startedAgain ? "owner started again" : gone, view, standings,
+               out);
     }
 }
 
@@ -319,9 +325,7 @@
         Standing &giver = standings[m_slots[*donor].range.owner->target];
         giver.work -= work;
         giver.keys -= std::min(giver.keys, moved.size());
-        standing.work += work;
-        standing.keys += moved.size();
-        beginMove(*donor + 1, *view.directory.find(id), "target has no keys", out);
+        giveTo(id, *donor + 1, work, "target has no keys", view, standings, out);
     }
 }
 
@@ -391,7 +395,7 @@
     const auto receiver = chooseReceiver(standings, moved);
     if (!receiver || *receiver == giver)
         return false;
-    Standing &taker = standings[*receiver];
+    const Standing &taker = standings[*receiver];
     if ((taker.work + moved) / taker.capacity >= from.load())
         return false;
     std::size_t index = *heaviest;
@@ -401,9 +405,7 @@
         splitSlot(index++, at);
     from.work -= moved;
     from.keys -= std::min(from.keys, moving.size());
-    taker.work += moved;
-    taker.keys += moving.size();
-    beginMove(index, *view.directory.find(*receiver), "owner is overloaded", out);
+    giveTo(*receiver, index, moved, "owner is overloaded", view, standings, out);
     return true;
 }
 
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -36,12 +36,6 @@
     return {Kind::Reject, nullptr, reason, pause, {}};
 }
 
-double usualSeconds(const Gateway &gateway, const Flow &flow)
-{
-    const auto found = gateway.routeSeconds.find(flow.route->name);
-    return found == gateway.routeSeconds.end() ? unknownRequestSeconds : found->second;
-}
-
 /// When new work for the target must end.
 TimePoint endOfSending(const Gateway &gateway, const Target &target)
 {
@@ -58,7 +52,8 @@
                           const std::shared_ptr<LiveTarget> &target, const WaitingLane &lane,
                           double parallel)
 {
-    const double each = usualSeconds(gateway, flow) * target->gate.slowness();
+    const double each =
+        gateway.usualSeconds(flow.route->name, unknownRequestSeconds) * target->gate.slowness();
     const auto ahead = static_cast<double>(lane.ahead(flow.urgency, gateway.now()));
     const Duration wait = fromSeconds((ahead + 1) * each / std::max(parallel, 1.0));
     const Duration work = fromSeconds(each / 2);
--- a/src/gateway/target_gate.cpp
+++ b/src/gateway/target_gate.cpp
@@ -1,5 +1,7 @@
 #include "gateway/target_gate.hpp"
 
+#include "gateway/time_span.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -20,11 +22,6 @@
 /// Weight of the newest sample in a moving mean.
 constexpr double newestWeight = 0.15;
 
-double secondsBetween(TimePoint from, TimePoint to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
 } // namespace
 
 void TargetGate::configure(std::uint32_t slots, std::uint32_t instances) noexcept
--- a/tests/gateway/test_control_placing.cpp
+++ b/tests/gateway/test_control_placing.cpp
@@ -129,7 +129,7 @@
     };
     ASSERT_TRUE(runUntil([&] { return store.mapWrites == 1; }));
     store.leaseUp = false;
-    ASSERT_TRUE(runUntil([&] { return !control.places(); }));
+    ASSERT_TRUE(runUntil([&] { return !control.placing(); }));
     // Another placer wrote in between.
     ShardMap others;
     others.service = "s";
