--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -55,7 +55,6 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::string instance;
-    int processStart = 0;
 };
 
 Callers::Callers(Deployment &deployment, CallerOptions options, std::uint64_t seed)
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -137,7 +137,6 @@
     if (!process)
         return process.error();
     instance.process = std::move(*process);
-    instance.stopping = false;
     return ok();
 }
 
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -38,7 +38,6 @@
     std::unique_ptr<FaultProxy> storeLink; ///< Its way to the store.
     std::unique_ptr<standins::Process> process; ///< Null while it is down.
     int starts = 0;
-    bool stopping = false; ///< It was asked to stop.
     bool busy = false; ///< A fault concerns it.
 
     [[nodiscard]] std::string callers() const { return ip + ":8161"; }
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -191,13 +191,6 @@
     m_impl->faults = faults;
 }
 
-bool FaultProxy::faulty() const noexcept
-{
-    const ProxyFaults &faults = m_impl->faults;
-    return faults.refuses || faults.delay > Duration::zero() || faults.toServer == Passage::Held
-        || faults.toClient == Passage::Held;
-}
-
 void FaultProxy::resetAll()
 {
     for (const Impl::LinkPtr &link : m_impl->links)
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -43,8 +43,6 @@
     void setServer(const std::string &server);
     /// \brief Sets the faults of all connections, open and new.
     void setFaults(ProxyFaults faults);
-    /// \brief Whether something is harmed now.
-    [[nodiscard]] bool faulty() const noexcept;
     /// \brief Resets all open connections.
     void resetAll();
 
--- a/soak/troubles.cpp
+++ b/soak/troubles.cpp
@@ -145,7 +145,6 @@
     if (instance == nullptr)
         co_return;
     note("stop " + instance->name);
-    instance->stopping = true;
     m_deployment.ledger().stopping(instance->name, true);
     instance->process->signal(SIGTERM);
     const TimePoint end = m_deployment.loop().now() + grace;
