--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -267,6 +267,7 @@
 
 void Control::changeTarget(const StoredObject &object)
 {
+    const DutyTimer timer(m_gateway, Duty::FollowTargets);
     const TimePoint now = m_gateway.now();
     if (object.deleted) {
         m_gateway.directory.remove(object.name, now, m_changedSince);
@@ -380,6 +381,7 @@
 {
     if (object.deleted)
         return;
+    const DutyTimer timer(m_gateway, Duty::FollowMaps);
     Result<ShardMap> map = decodeShardMap(object.text);
     if (!map) {
         m_gateway.log.write("ownership", "bad-map",
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -90,6 +90,7 @@
 
     void place(const std::string &service, Placing &placing);
     void stepDown(std::string_view why);
+    void watchLoop(TimePoint due);
     void storeAnswered(bool answered, std::string_view call);
     void restartWatches();
     [[nodiscard]] PeerLink::Hooks peerHooks();
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -178,10 +178,33 @@
                 }
             }
         }
+        const TimePoint due = m_gateway.now() + tickEvery;
         co_await pause(tickEvery);
+        watchLoop(due);
     }
 }
 
+/// Notes how late the loop is, and tells of a loop that lags and of what its time went to.
+void Control::watchLoop(TimePoint due)
+{
+    const TimePoint now = m_gateway.now();
+    m_gateway.loopWatch.ran(due, now);
+    m_gateway.metrics.loopLag(m_gateway.loopWatch.lag());
+    const std::optional<LoopReport> report = m_gateway.loopWatch.takeReport(now);
+    if (!report)
+        return;
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    nlohmann::json spent = nlohmann::json::object();
+    for (const auto &[duty, name] : EnumNames<Duty>::table)
+        spent[std::string(name)] =
+            Milliseconds(report->spent[static_cast<std::size_t>(duty)]).count();
+    m_gateway.log.write("lifecycle", "loop-late",
+                        {{"lagMs", Milliseconds(report->lag).count()},
+                         {"spentMs", std::move(spent)},
+                         {"active", m_gateway.active},
+                         {"sessions", m_gateway.sessions}});
+}
+
 /// The placing of a service, unless the lease was lost since it began.
 Control::Placing *Control::findPlacing(const std::string &service, std::uint64_t id)
 {
@@ -229,6 +252,7 @@
     const LiveService &live = m_gateway.liveService(service);
     if (live.load == nullptr || !this->placing())
         return;
+    const DutyTimer timer(m_gateway, Duty::Place);
     const PlacementView view{m_gateway.directory, *live.load,
                              [this](const Target &target) { return slowness(target); }};
     PlacerOutput out = placing.placer->tick(view, m_gateway.now());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -124,6 +124,7 @@
 
 void Gateway::wakeAll()
 {
+    const DutyTimer timer(*this, Duty::Wake);
     for (auto &[name, service] : services)
         service.lane.wakeAll();
     for (auto &[id, target] : live)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include "gateway/http_call.hpp"
 #include "gateway/key_load.hpp"
 #include "gateway/load_message.hpp"
+#include "gateway/loop_watch.hpp"
 #include "gateway/platform.hpp"
 #include "gateway/repeat_budget.hpp"
 #include "gateway/shard_map.hpp"
@@ -87,6 +88,7 @@
     std::map<std::string, double, std::less<>> routeSeconds; ///< Usual time of a route's requests.
     std::map<std::string, double, std::less<>> slowness; ///< Of targets, as all instances see it.
     LoadMessage seenLoad; ///< Load since the last report.
+    LoopWatch loopWatch;
     std::uint32_t instances = 1; ///< Instances that are known, this one included.
     bool stopping = false;
     bool targetsKnown = false;
@@ -118,4 +120,21 @@
     void forgetTargets();
 };
 
+/// \brief Counts the time of a scope as that of a duty.
+class DutyTimer
+{
+public:
+    DutyTimer(Gateway &gateway, Duty duty) noexcept
+        : m_gateway(gateway), m_duty(duty), m_from(gateway.now())
+    { }
+    DutyTimer(const DutyTimer &) = delete;
+    DutyTimer &operator=(const DutyTimer &) = delete;
+    ~DutyTimer() { m_gateway.loopWatch.spent(m_duty, m_gateway.now() - m_from); }
+
+private:
+    Gateway &m_gateway;
+    const Duty m_duty;
+    const TimePoint m_from;
+};
+
 } // namespace yuccaspan::gateway
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -14,6 +14,9 @@
 /// Around the latency targets of 200 to 1,000 ms that routes have.
 const prometheus::Histogram::BucketBoundaries latencyBounds{0.01, 0.05, 0.1, 0.2, 0.3, 0.4,
                                                             0.5,  0.6,  1,   1.5, 2,   5};
+/// From the system's own lateness of timers to the longest bound of sending.
+const prometheus::Histogram::BucketBoundaries lagBounds{0.001, 0.005, 0.02, 0.05, 0.1,
+                                                        0.2,   0.5,   1,    2,    5};
 
 } // namespace
 
@@ -35,6 +38,11 @@
                                                           .Name("yuccaspan_events_total")
                                                           .Help("Decisions and calls by name.")
                                                           .Register(registry);
+    prometheus::Histogram &lag = prometheus::BuildHistogram()
+                                     .Name("yuccaspan_loop_lag_seconds")
+                                     .Help("How late the event loop runs what is due.")
+                                     .Register(registry)
+                                     .Add({}, lagBounds);
     std::map<Labels, prometheus::Counter *> requestCounters;
     std::map<std::string, prometheus::Histogram *> histograms;
     std::map<Labels, prometheus::Counter *, std::less<>> eventCounters;
@@ -69,6 +77,11 @@
     counter->Increment();
 }
 
+void GatewayMetrics::loopLag(Duration lag)
+{
+    m_state->lag.Observe(std::chrono::duration<double>(lag).count());
+}
+
 std::string GatewayMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_state->registry.Collect());
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -24,6 +24,8 @@
     void request(const std::string &route, std::string_view outcome, Duration latency);
     /// \brief Counts an event by name, such as a call to the store.
     void count(std::string_view event, std::string_view label);
+    /// \brief Notes how late the event loop is.
+    void loopLag(Duration lag);
     /// \brief All figures in the text format of Prometheus.
     [[nodiscard]] std::string text() const;
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -94,6 +94,7 @@
 
 void PeerLink::takeDelta(const ShardDelta &delta)
 {
+    const DutyTimer timer(m_gateway, Duty::FollowMaps);
     const auto known = m_gateway.shardMaps.find(delta.service);
     if (known == m_gateway.shardMaps.end() || known->second.revision >= delta.revision)
         return;
@@ -134,6 +135,7 @@
 
 void PeerLink::note(const LoadMessage &message)
 {
+    const DutyTimer timer(m_gateway, Duty::TakeLoad);
     const TimePoint now = m_gateway.now();
     for (const auto &[service, buckets] : message.work) {
         LiveService &live = m_gateway.liveService(service);
