The placer decides at its ticks only, not at each end of an order

Callers saw: requests sent on 3 to 12 s after they had left, requests at targets that had left 2.8 s before, connections that nobody accepted for 11 s, and ten seconds of 503 after all machines had returned.

Cause: each order that did not simply succeed made the placer decide anew, over all targets and ranges, and `findAddress` went over all targets for each range: decisions took 0.8 to 1.9 s of each second of the thread that also reads requests. The more orders failed, the later it was with the next ones.

Targets are found by address in an index; the work of a range is measured once a tick; targets without keys are filled from a list of donors made once.

Test: ControlPlacing.failedOrdersMakeThePlacerDecideNoMoreOften; with the decision at each order's end put back it fails.

--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -88,7 +88,10 @@
     void allShardMaps(const Objects &objects);
     void changeShardMap(const StoredObject &object);
 
-    void place(const std::string &service, Placing &placing);
+    void decide(const std::string &service, Placing &placing);
+    void proceed(const std::string &service, Placing &placing);
+    [[nodiscard]] PlacementView viewOf(const LiveService &service) const;
+    void carryOutAll(const std::string &service, const Placing &placing, PlacerOutput out);
     void stepDown(std::string_view why);
     void watchLoop(TimePoint due);
     void storeAnswered(bool answered, std::string_view call);
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -174,7 +174,7 @@
                     found->second.id = ++m_lastPlacing;
                     asio::co_spawn(m_gateway.loop, adopt(name, found->second.id), asio::detached);
                 } else if (found->second.placer) {
-                    place(name, found->second);
+                    decide(name, found->second);
                 }
             }
         }
@@ -244,19 +244,40 @@
                         {{"service", service},
                          {"revision", placing->revision},
                          {"ranges", stored ? stored->ranges.size() : 0}});
-    place(service, *placing);
+    decide(service, *placing);
 }
 
-void Control::place(const std::string &service, Placing &placing)
+PlacementView Control::viewOf(const LiveService &service) const
+{
+    return {m_gateway.directory, *service.load,
+            [this](const Target &target) { return slowness(target); }};
+}
+
+/// Decides where keys are to lie. Called at each tick, not at each end of an order.
+void Control::decide(const std::string &service, Placing &placing)
 {
     const LiveService &live = m_gateway.liveService(service);
     if (live.load == nullptr || !this->placing())
         return;
+    m_gateway.metrics.count("placer", "decide");
     const DutyTimer timer(m_gateway, Duty::Place);
-    const PlacementView view{m_gateway.directory, *live.load,
-                             [this](const Target &target) { return slowness(target); }};
-    PlacerOutput out = placing.placer->tick(view, m_gateway.now());
-    for (PlacementNote &note : out.notes) {
+    carryOutAll(service, placing, placing.placer->tick(viewOf(live), m_gateway.now()));
+}
+
+/// Takes the next steps of moves, after an order or a write has ended.
+void Control::proceed(const std::string &service, Placing &placing)
+{
+    const LiveService &live = m_gateway.liveService(service);
+    if (live.load == nullptr || !this->placing())
+        return;
+    m_gateway.metrics.count("placer", "proceed");
+    const DutyTimer timer(m_gateway, Duty::Place);
+    carryOutAll(service, placing, placing.placer->proceed(viewOf(live), m_gateway.now()));
+}
+
+void Control::carryOutAll(const std::string &service, const Placing &placing, PlacerOutput out)
+{
+    for (const PlacementNote &note : out.notes) {
         m_gateway.metrics.count("move", note.reason);
         m_gateway.log.write("placement", note.event,
                             {{"service", service},
@@ -306,7 +327,7 @@
             addNewTargets(delta, m_gateway.directory, m_gateway.now());
             m_peers.tellPeers(delta);
             m_gateway.apply(map, written.object.revision);
-            place(service, *placing);
+            proceed(service, *placing);
             co_return;
         }
         co_await pause(storePause);
@@ -348,7 +369,7 @@
         co_return;
     placing->placer->orderDone(order.id, outcome, handover, m_gateway.now());
     if (noteworthy)
-        place(service, *placing);
+        proceed(service, *placing);
 }
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -122,20 +122,35 @@
         fillEmpty(view, known, out, now);
         spreadHot(view, known, out, now);
         refenceNeighbours(out, now);
+    }
+    takeSteps(view, out, now);
+    return out;
+}
+
+PlacerOutput ShardPlacer::proceed(const PlacementView &view, TimePoint now)
+{
+    PlacerOutput out;
+    takeSteps(view, out, now);
+    return out;
+}
+
+/// Sends the orders that are due, and the record if it has changed.
+void ShardPlacer::takeSteps(const PlacementView &view, PlacerOutput &out, TimePoint now)
+{
+    if (m_takeoverStored) {
         for (Slot &slot : m_slots)
             advance(slot, view, out, now);
     }
     const bool staged = std::ranges::any_of(m_slots, &Slot::needsWrite);
-    if ((m_needsWrite || staged) && m_writeInFlight == 0) {
-        m_writeInFlight = ++m_write;
-        m_needsWrite = false;
-        for (Slot &slot : m_slots) {
-            if (std::exchange(slot.needsWrite, false))
-                slot.pendingWrite = m_writeInFlight;
-        }
-        out.write = record();
+    if ((!m_needsWrite && !staged) || m_writeInFlight != 0)
+        return;
+    m_writeInFlight = ++m_write;
+    m_needsWrite = false;
+    for (Slot &slot : m_slots) {
+        if (std::exchange(slot.needsWrite, false))
+            slot.pendingWrite = m_writeInFlight;
     }
-    return out;
+    out.write = record();
 }
 
 void ShardPlacer::writeDone(TimePoint now)
@@ -348,14 +363,17 @@
         return;
     const Flight flight = std::move(found->second);
     m_flights.erase(found);
-    for (Slot &slot : m_slots) {
-        if (slot.orderInFlight != order)
+    // A range may have been cut since the order was sent; its pieces lie within the order's keys.
+    const KeySpan &keys = flight.order.keys;
+    auto slot = std::ranges::lower_bound(m_slots, keys.first, {}, &Slot::firstKey);
+    for (; slot != m_slots.end() && slot->firstKey() <= keys.last; ++slot) {
+        if (slot->orderInFlight != order)
             continue;
-        slot.orderInFlight = 0;
+        slot->orderInFlight = 0;
         if (flight.order.kind == OrderKind::Grant)
-            noteGrant(slot, flight, outcome, now);
+            noteGrant(*slot, flight, outcome, now);
         else
-            noteRelease(slot, outcome, handover, now);
+            noteRelease(*slot, outcome, handover, now);
     }
 }
 
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -114,8 +114,11 @@
     /// \brief Takes over from the record of the last placer.
     /// \param stored The record as it lies in the store, or nothing if there never was one.
     void adopt(const std::optional<ShardMap> &stored, TimePoint now);
-    /// \brief Does what is due.
+    /// \brief Decides where keys are to lie and does what is due. Its time grows with the targets
+    /// and the ranges; not meant for each end of an order.
     [[nodiscard]] PlacerOutput tick(const PlacementView &view, TimePoint now);
+    /// \brief Takes the next steps of the moves under way, and no decision.
+    [[nodiscard]] PlacerOutput proceed(const PlacementView &view, TimePoint now);
     /// \brief Takes the end of an order.
     /// \param handover Handover that a release brought, or empty.
     void orderDone(std::uint64_t order, OrderOutcome outcome, const std::string &handover,
@@ -162,6 +165,9 @@
         bool released = false;
         bool silent = false; ///< The last order to the owner was not answered.
         std::string handover;
+        double work = 0; ///< Work on the keys, as of the last tick.
+
+        [[nodiscard]] std::uint32_t firstKey() const noexcept { return range.keys.first; }
     };
 
     struct Flight
@@ -184,31 +190,50 @@
     };
     using Standings = std::map<std::string, Standing, std::less<>>;
 
+    /// A range that may be cut in two for a target without keys.
+    struct Donor
+    {
+        std::uint32_t firstKey = 0;
+        Standing *giver = nullptr; ///< Its owner.
+        double work = 0;
+        std::uint32_t keys = 0;
+
+        /// Work of its owner for its size, and the range's own; by keys while there is no work.
+        [[nodiscard]] double score() const noexcept
+        {
+            constexpr double perKey = 1e-6;
+            return keys < 2 ? 0 : giver->load() + (work + perKey * keys) / giver->capacity;
+        }
+    };
+
     ShardPlacer(std::string service, std::string self, PlacerTiming timing);
 
     [[nodiscard]] Duration heldFromArrival() const noexcept;
     [[nodiscard]] Duration lapseAfter() const noexcept;
     [[nodiscard]] Duration renewAfter(const KeySpan &keys) const noexcept;
-    [[nodiscard]] Standings standings(const PlacementView &view, TimePoint now) const;
+    [[nodiscard]] Standings standings(const PlacementView &view, TimePoint now);
+    void takeSteps(const PlacementView &view, PlacerOutput &out, TimePoint now);
     void preferFast(Standings &standings) const;
     [[nodiscard]] std::optional<std::string> chooseReceiver(const Standings &standings,
                                                             double work) const;
     void startRecord(const Standings &standings);
     void reassignUnusable(const PlacementView &view, Standings &standings, PlacerOutput &out,
                           TimePoint now);
+    [[nodiscard]] std::vector<Donor> donors(Standings &standings, TimePoint now) const;
     void fillEmpty(const PlacementView &view, Standings &standings, PlacerOutput &out,
                    TimePoint now);
     void spreadHot(const PlacementView &view, Standings &standings, PlacerOutput &out,
                    TimePoint now);
     bool relieve(const std::string &giver, double mean, const PlacementView &view,
                  Standings &standings, PlacerOutput &out, TimePoint now);
-    [[nodiscard]] std::optional<std::size_t>
-    heaviestMovable(const std::string &owner, const PlacementView &view, TimePoint now) const;
+    [[nodiscard]] std::optional<std::size_t> heaviestMovable(const std::string &owner,
+                                                             TimePoint now) const;
     void beginMove(std::size_t slot, const Target &receiver, std::string_view reason,
                    PlacerOutput &out);
     void giveTo(const std::string &receiver, std::size_t slot, double work, std::string_view reason,
                 const PlacementView &view, Standings &standings, PlacerOutput &out);
-    void splitSlot(std::size_t slot, std::uint32_t firstOfSecond);
+    void splitSlot(std::size_t slot, std::uint32_t firstOfSecond, const PlacementView &view,
+                   TimePoint now);
     void mergeNeighbours();
     void refenceNeighbours(PlacerOutput &out, TimePoint now);
     [[nodiscard]] std::size_t piecesFor(double work, const Standings &standings) const;
--- a/src/gateway/shard_plan.cpp
+++ b/src/gateway/shard_plan.cpp
@@ -60,7 +60,8 @@
 
 } // namespace
 
-ShardPlacer::Standings ShardPlacer::standings(const PlacementView &view, TimePoint now) const
+/// Measures the work on each range and sums it up by target.
+ShardPlacer::Standings ShardPlacer::standings(const PlacementView &view, TimePoint now)
 {
     Standings known;
     for (const auto &[id, target] : view.directory.targets()) {
@@ -71,12 +72,13 @@
             standing.cold = target.cold(now);
         }
     }
-    for (const Slot &slot : m_slots) {
+    for (Slot &slot : m_slots) {
+        slot.work = view.load.rate(slot.range.keys, now);
         const std::optional<Holder> &holder = slot.range.next ? slot.range.next : slot.range.owner;
         const auto found = holder ? known.find(holder->target) : known.end();
         if (found == known.end())
             continue;
-        found->second.work += view.load.rate(slot.range.keys, now);
+        found->second.work += slot.work;
         found->second.keys += slot.range.keys.size();
     }
     preferFast(known);
@@ -144,11 +146,15 @@
     m_slots.back().range.keys.last = lastKey;
 }
 
-void ShardPlacer::splitSlot(std::size_t index, std::uint32_t firstOfSecond)
+void ShardPlacer::splitSlot(std::size_t index, std::uint32_t firstOfSecond,
+                            const PlacementView &view, TimePoint now)
 {
     Slot second = m_slots[index];
     second.range.keys.first = firstOfSecond;
-    m_slots[index].range.keys.last = firstOfSecond - 1;
+    second.work = view.load.rate(second.range.keys, now);
+    Slot &first = m_slots[index];
+    first.range.keys.last = firstOfSecond - 1;
+    first.work = std::max(first.work - second.work, 0.0);
     m_slots.insert(m_slots.begin() + static_cast<std::ptrdiff_t>(index) + 1, std::move(second));
 }
 
@@ -253,21 +259,20 @@
         if (owner && !ended && m_slots[index].silent && now < m_slots[index].hold.until)
             continue;
         if (owner && !ended) {
-            const std::size_t pieces =
-                piecesFor(view.load.rate(m_slots[index].range.keys, now), standings);
+            const std::size_t pieces = piecesFor(m_slots[index].work, standings);
             for (std::size_t piece = pieces; piece > 1; --piece) {
                 const std::uint32_t at =
                     view.load.cut(m_slots[index].range.keys, 1.0 / static_cast<double>(piece));
                 if (at == m_slots[index].range.keys.first)
                     break;
-                splitSlot(index, at);
-                const double work = view.load.rate(m_slots[index].range.keys, now);
+                splitSlot(index, at, view, now);
+                const double work = m_slots[index].work;
                 if (const auto receiver = chooseReceiver(standings, work))
                     giveTo(*receiver, index, work, "owner leaves", view, standings, out);
                 ++index;
             }
         }
-        const double work = view.load.rate(m_slots[index].range.keys, now);
+        const double work = m_slots[index].work;
         auto receiver = chooseReceiver(standings, work);
         if (!receiver)
             continue;
@@ -286,46 +291,52 @@
     }
 }
 
+std::vector<ShardPlacer::Donor> ShardPlacer::donors(Standings &standings, TimePoint now) const
+{
+    std::vector<Donor> found;
+    for (const Slot &slot : m_slots) {
+        if (slot.stage != Stage::Settled || slot.needsWrite || now < slot.hold.doubtUntil
+            || !slot.range.owner || slot.range.keys.size() < 2)
+            continue;
+        const auto owner = standings.find(slot.range.owner->target);
+        if (owner != standings.end())
+            found.push_back({slot.firstKey(), &owner->second, slot.work, slot.range.keys.size()});
+    }
+    return found;
+}
+
 void ShardPlacer::fillEmpty(const PlacementView &view, Standings &standings, PlacerOutput &out,
                             TimePoint now)
 {
+    const auto empty = [](const auto &item) { return item.second.keys == 0 && !item.second.cold; };
+    if (std::ranges::none_of(standings, empty))
+        return;
+    std::vector<Donor> known = donors(standings, now);
+    std::size_t moves = movesUnderWay();
     for (auto &[id, standing] : standings) {
-        if (standing.keys != 0 || standing.cold
-            || movesUnderWay() >= maxBalanceMoves(standings.size()))
+        if (standing.keys != 0 || standing.cold)
             continue;
+        if (moves >= maxBalanceMoves(standings.size()))
+            return;
         // From the target with the most work for its size; by keys while there is no work.
-        std::optional<std::size_t> donor;
-        double most = 0;
-        for (std::size_t index = 0; index < m_slots.size(); ++index) {
-            const Slot &slot = m_slots[index];
-            if (slot.stage != Stage::Settled || slot.needsWrite || now < slot.hold.doubtUntil
-                || !slot.range.owner || slot.range.keys.size() < 2)
-                continue;
-            const auto owner = standings.find(slot.range.owner->target);
-            if (owner == standings.end())
-                continue;
-            constexpr double perKey = 1e-6;
-            const double share =
-                view.load.rate(slot.range.keys, now) + perKey * slot.range.keys.size();
-            const double score = owner->second.load() + share / owner->second.capacity;
-            if (score > most) {
-                most = score;
-                donor = index;
-            }
-        }
-        if (!donor)
+        const auto donor = std::ranges::max_element(known, {}, &Donor::score);
+        if (donor == known.end() || donor->keys < 2)
             return;
-        const KeySpan keys = m_slots[*donor].range.keys;
+        const auto slot = std::ranges::lower_bound(m_slots, donor->firstKey, {}, &Slot::firstKey);
+        const auto index = static_cast<std::size_t>(slot - m_slots.begin());
+        const KeySpan keys = slot->range.keys;
         std::uint32_t at = view.load.cut(keys, 0.5);
         if (at == keys.first)
             at = keys.first + keys.size() / 2;
-        splitSlot(*donor, at);
-        const KeySpan moved = m_slots[*donor + 1].range.keys;
-        const double work = view.load.rate(moved, now);
-        Standing &giver = standings[m_slots[*donor].range.owner->target];
-        giver.work -= work;
-        giver.keys -= std::min(giver.keys, moved.size());
-        giveTo(id, *donor + 1, work, "target has no keys", view, standings, out);
+        splitSlot(index, at, view, now);
+        const Slot &moved = m_slots[index + 1];
+        const double work = moved.work;
+        donor->giver->work -= work;
+        donor->giver->keys -= std::min(donor->giver->keys, moved.range.keys.size());
+        donor->work -= work;
+        donor->keys -= moved.range.keys.size();
+        giveTo(id, index + 1, work, "target has no keys", view, standings, out);
+        ++moves;
     }
 }
 
@@ -356,7 +367,6 @@
 }
 
 std::optional<std::size_t> ShardPlacer::heaviestMovable(const std::string &owner,
-                                                        const PlacementView &view,
                                                         TimePoint now) const
 {
     std::optional<std::size_t> heaviest;
@@ -365,7 +375,7 @@
         const Slot &slot = m_slots[index];
         const bool movable = slot.stage == Stage::Settled && !slot.needsWrite && slot.range.owner
             && slot.range.owner->target == owner && now >= slot.hold.doubtUntil;
-        const double rate = movable ? view.load.rate(slot.range.keys, now) : 0;
+        const double rate = movable ? slot.work : 0;
         if (rate > most) {
             most = rate;
             heaviest = index;
@@ -381,12 +391,12 @@
     const double surplus = (from.load() - mean) * from.capacity;
     if (from.load() < spreadAbove * mean || surplus < leastExcess)
         return false;
-    const std::optional<std::size_t> heaviest = heaviestMovable(giver, view, now);
+    const std::optional<std::size_t> heaviest = heaviestMovable(giver, now);
     if (!heaviest || m_slots.size() > maxRangesPerTarget * standings.size())
         return false;
     // The range is cut so that what moves is the surplus.
     const KeySpan keys = m_slots[*heaviest].range.keys;
-    const double rate = view.load.rate(keys, now);
+    const double rate = m_slots[*heaviest].work;
     std::uint32_t at = keys.first;
     if (surplus < rate)
         at = view.load.cut(keys, 1.0 - surplus / rate);
@@ -400,9 +410,9 @@
         return false;
     std::size_t index = *heaviest;
     if (moving.last != keys.last)
-        splitSlot(index, moving.last + 1);
+        splitSlot(index, moving.last + 1, view, now);
     if (at != keys.first)
-        splitSlot(index++, at);
+        splitSlot(index++, at, view, now);
     from.work -= moved;
     from.keys -= std::min(from.keys, moving.size());
     giveTo(*receiver, index, moved, "owner is overloaded", view, standings, out);
--- a/src/gateway/target_directory.cpp
+++ b/src/gateway/target_directory.cpp
@@ -29,6 +29,7 @@
     Target &target = found->second;
     if (!isNew && entry.incarnation < target.entry.incarnation)
         return false;
+    const std::string before = target.entry.address;
     const bool newLife = isNew || entry.incarnation > target.entry.incarnation;
     const bool changed = newLife || !target.listed || !sameButSequence(target.entry, entry);
     if (newLife) {
@@ -37,6 +38,11 @@
     }
     if (newLife || entry.warmupLeft != target.entry.warmupLeft)
         target.coldUntil = now + entry.warmupLeft;
+    if (isNew || before != entry.address) {
+        if (!isNew)
+            unindex(before, entry.id);
+        m_byAddress.emplace(entry.address, entry.id);
+    }
     target.entry = entry;
     target.listed = true;
     target.missingSince.reset();
@@ -100,13 +106,25 @@
         remove(id, now, now);
         changed = true;
     }
-    std::erase_if(m_targets, [now](const auto &item) {
+    std::erase_if(m_targets, [this, now](const auto &item) {
         const Target &target = item.second;
-        return !target.listed && now - *target.leavingSince > forgetAfter;
+        const bool forgotten = !target.listed && now - *target.leavingSince > forgetAfter;
+        if (forgotten)
+            unindex(target.entry.address, item.first);
+        return forgotten;
     });
     return changed;
 }
 
+void TargetDirectory::unindex(const std::string &address, std::string_view id)
+{
+    const auto [first, last] = m_byAddress.equal_range(address);
+    const auto found =
+        std::find_if(first, last, [id](const auto &item) { return item.second == id; });
+    if (found != last)
+        m_byAddress.erase(found);
+}
+
 void TargetDirectory::storeAway(TimePoint now) noexcept
 {
     m_storeAwayUntil = std::max(m_storeAwayUntil, now + relistGrace);
@@ -134,10 +152,13 @@
 const Target *TargetDirectory::findAddress(std::string_view address) const noexcept
 {
     const Target *latest = nullptr;
-    for (const auto &[id, target] : m_targets) {
-        const bool here = target.listed && target.entry.address == address;
-        if (here && (latest == nullptr || latest->entry.incarnation < target.entry.incarnation))
-            latest = &target;
+    const auto [first, last] = m_byAddress.equal_range(address);
+    for (auto item = first; item != last; ++item) {
+        const Target *target = find(item->second);
+        if (target == nullptr || !target->listed)
+            continue;
+        if (latest == nullptr || latest->entry.incarnation < target->entry.incarnation)
+            latest = target;
     }
     return latest;
 }
--- a/src/gateway/target_directory.hpp
+++ b/src/gateway/target_directory.hpp
@@ -91,7 +91,10 @@
     [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
 
 private:
+    void unindex(const std::string &address, std::string_view id);
+
     std::map<std::string, Target, std::less<>> m_targets;
+    std::multimap<std::string, std::string, std::less<>> m_byAddress; ///< Ids by address.
     std::map<std::string, TimePoint, std::less<>> m_missing;
     std::map<std::string, TimePoint, std::less<>> m_evacuated;
     TimePoint m_storeAwayUntil{};
--- a/tests/gateway/test_control_placing.cpp
+++ b/tests/gateway/test_control_placing.cpp
@@ -48,8 +48,9 @@
     {
         StoredObjects objects;
         objects.revision = revision;
-        if (kind == ObjectKind::Targets)
-            objects.objects.push_back({"t", 3, false, nullptr, {}});
+        for (std::size_t index = 0; kind == ObjectKind::Targets && index < targets; ++index)
+            objects.objects.push_back(
+                {index == 0 ? "t" : "t" + std::to_string(index), 3, false, nullptr, {}});
         if (kind == ObjectKind::Settings)
             objects.objects.push_back({"main", 3, false, nullptr, {}});
         co_return objects;
@@ -95,6 +96,7 @@
     }
 
     std::uint64_t revision = 7;
+    std::size_t targets = 1;
     StoredObject lease;
     StoredObject map;
     bool leaseUp = true;
@@ -149,6 +151,41 @@
     }
 }
 
+/// Value of a line of the metrics page; 0 if there is none.
+double metric(const GatewayMetrics &metrics, const std::string &line)
+{
+    const std::string text = metrics.text();
+    const std::size_t at = text.find(line + " ");
+    return at == std::string::npos ? 0 : std::stod(text.substr(at + line.size()));
+}
+
+/// GONE, DRAIN and RECOVER on the grown deployments: the placer went over all targets and ranges at
+/// the end of each failed order, which took all time of its loop.
+TEST(ControlPlacing, failedOrdersMakeThePlacerDecideNoMoreOften)
+{
+    asio::io_context loop;
+    const BoottimeClock clock;
+    EventLog log(std::make_unique<SilentLog>(), clock, "a");
+    NoProtocol protocol;
+    OneServiceCodec codec;
+    HangingStore store(loop);
+    store.targets = 100;
+    store.letGo = true;
+    GatewayOptions options;
+    options.name = "a";
+    Gateway gateway(loop, clock, log, protocol, store, codec, options);
+    Control control(gateway, "1");
+    ASSERT_TRUE(control.start());
+    const std::string failed = R"(yuccaspan_events_total{event="grant",label="not-sent"})";
+    for (int step = 0; step < 400 && metric(gateway.metrics, failed) < 500; ++step)
+        loop.run_for(std::chrono::milliseconds(50));
+    ASSERT_GE(metric(gateway.metrics, failed), 500);
+    const double ticks = metric(gateway.metrics, "yuccaspan_loop_lag_seconds_count");
+    const double decided =
+        metric(gateway.metrics, R"(yuccaspan_events_total{event="placer",label="decide"})");
+    EXPECT_LE(decided, ticks + 1);
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
