One pass of the event loop accepts up to 16 connections; a loop that lags is not ready

Callers saw: an instance that answered that it was ready accepted none of 1,227 new connections in 11.3 s. Cause: one accept was outstanding, so each pass of the loop took one connection, with passes of 0.3 s three a second, oldest first, each after its caller had given up on it (1 s).

Change: 16 accepts are outstanding. An instance whose loop lagged by more than 0.5 s at the last tick answers that it is not ready. The pause in which changes of targets gather is shorter by the lag.

Test, failed before: LateRequests.onePassOfTheLoopAcceptsManyConnections (5 of 16). The answer to the balancer and the pause have no test of their own.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -221,7 +221,9 @@
         return follower.gather;
     const auto most =
         std::chrono::duration_cast<Duration>(m_gateway.options.drainWithin * mostPartOfDrain);
-    return std::clamp(gatherPerInstance * m_gateway.instances, follower.gather, most);
+    // A loop that lags reads the answer later by that much.
+    return std::clamp(gatherPerInstance * m_gateway.instances - m_gateway.loopWatch.lag(),
+                      follower.gather, most);
 }
 
 asio::awaitable<void> Control::registerInstance()
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -19,6 +19,11 @@
 /// Pause after the system refused a connection, as when descriptors run out.
 constexpr Duration acceptPause = std::chrono::milliseconds(50);
 constexpr int backlog = 1024;
+/// Connections that one pass of the event loop accepts. One at a time, a loop whose passes take
+/// 0.3 s would accept three a second, long after their callers have left.
+constexpr int acceptsAtOnce = 16;
+/// An instance whose loop lags by more is not ready: callers give up on a connection after 1 s.
+constexpr Duration mostLag = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -67,7 +72,8 @@
 
 void GatewayServer::start()
 {
-    asio::co_spawn(m_gateway.loop, acceptCallers(), asio::detached);
+    for (int index = 0; index < acceptsAtOnce; ++index)
+        asio::co_spawn(m_gateway.loop, acceptCallers(), asio::detached);
     asio::co_spawn(m_gateway.loop, acceptQuestions(m_readiness), asio::detached);
     if (m_peers.is_open())
         asio::co_spawn(m_gateway.loop, acceptQuestions(m_peers), asio::detached);
@@ -113,7 +119,7 @@
         response.body() = m_gateway.metrics.text();
     else if (request.target().starts_with("/state"))
         response.body() = m_state(request.body());
-    else if (!m_gateway.ready())
+    else if (!m_gateway.ready() || m_gateway.loopWatch.lag() > mostLag)
         response.result(http::status::service_unavailable);
     return response;
 }
--- a/tests/gateway/test_late_requests.cpp
+++ b/tests/gateway/test_late_requests.cpp
@@ -163,6 +163,24 @@
     EXPECT_GT(m_received, 0U);
 }
 
+/// RECOVER on the grown deployments: a loop whose passes took 0.3 s accepted three connections a
+/// second, each after its caller had left.
+TEST_F(LateRequests, onePassOfTheLoopAcceptsManyConnections)
+{
+    ASSERT_NE(m_server, nullptr);
+    constexpr std::size_t count = 16;
+    std::vector<std::unique_ptr<tcp::socket>> callers;
+    m_server->start();
+    m_loop.poll();
+    for (std::size_t index = 0; index < count; ++index)
+        callers.push_back(callerWithRequest());
+    // Handlers that were queued when the loop looked for new connections run in one pass.
+    m_loop.poll_one();
+    for (std::size_t ran = 0; ran < count; ++ran)
+        m_loop.poll_one();
+    EXPECT_EQ(m_gateway.sessions, count);
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
