--- a/tests/gateway/test_http_call.cpp
+++ b/tests/gateway/test_http_call.cpp
@@ -169,6 +169,39 @@
     EXPECT_EQ(received, 0U);
 }
 
+/// Sends the head of an answer and then the same bytes until the caller closes.
+Peer::Script endlessBytes(std::string head, std::size_t &sent)
+{
+    return [head = std::move(head), &sent](tcp::socket &socket) -> asio::awaitable<void> {
+        co_await asio::async_write(socket, asio::buffer(head), asTuple);
+        const std::string more(4096, 'x');
+        while (true) {
+            const auto [failure, count] =
+                co_await asio::async_write(socket, asio::buffer(more), asTuple);
+            if (failure)
+                co_return;
+            sent += count;
+        }
+    };
+}
+
+/// A server in trouble may send a head or a body without end.
+TEST(HttpCall, bytesWithoutEndAreCutAtTheLimitsOfHeadAndBody)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &head : {ok + "X: ", ok + "\r\n", std::string("garbage")}) {
+        asio::io_context loop;
+        std::size_t sent = 0;
+        Peer peer(loop, endlessBytes(head, sent));
+        CallOptions options;
+        options.timeout = std::chrono::seconds(30);
+        options.bodyLimit = 100'000;
+        EXPECT_EQ(call(loop, peer.address(), std::move(options)).end, CallEnd::Broken) << head;
+        // What the system's buffers hold beyond the limits was not read.
+        EXPECT_LT(sent, std::size_t{32} << 20) << head;
+    }
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
