Wording of the placement policy and membership

Comments of the balancer, its model and membership are reworded; utilization, split and rebalance replace private terms. Some tests are renamed, their checks are unchanged. Compared without comments: no structure, no literals, only consistent renames.

--- a/include/yuccaspan/membership.hpp
+++ b/include/yuccaspan/membership.hpp
@@ -1,11 +1,10 @@
 /// \file
-/// \brief Membership of the entry instances, from their heartbeats and the platform's lagging list.
+/// \brief Membership of the entry instances, from their heartbeats and the platform's delayed list.
 ///
-/// Does no input or output and reads no clock. It sends to instances that it heard of, by the list
-/// or by their heartbeats; while the list cannot be read, the daemon of a fresh instance sends a
-/// first heartbeat, with sequence 0, to the peers' addresses in its settings. The daemon sends the
-/// heartbeats it returns, hands it those that arrive, and passes each MembersEvent on to the
-/// placement core.
+/// Does no I/O and reads no clock. It returns heartbeats for the instances that it knows from the
+/// list or from their heartbeats; the daemon sends them, passes received heartbeats in, and
+/// forwards each MembersEvent to the placement core. While the list cannot be read, the daemon of a
+/// new instance sends a first heartbeat, with sequence 0, to the peer addresses in its settings.
 #pragma once
 
 #include "yuccaspan/clock.hpp"
@@ -25,18 +24,19 @@
 /// \brief Timing of membership.
 struct MembershipTiming
 {
-    Duration heartbeatInterval = std::chrono::milliseconds(100); ///< Between heartbeats.
-    Duration silentAfter =
-        std::chrono::milliseconds(450); ///< Silence after which one is not alive.
-    Duration forgetAfter = std::chrono::seconds(30); ///< Silence after which one is dropped.
+    Duration heartbeatInterval = std::chrono::milliseconds(100); ///< Interval between heartbeats.
+    Duration silentAfter = std::chrono::milliseconds(
+        450); ///< Time without a heartbeat until an instance counts as not alive.
+    Duration forgetAfter =
+        std::chrono::seconds(30); ///< Time without a heartbeat until it is removed.
 };
 
-/// \brief What an instance says of itself in its heartbeats.
+/// \brief State of an instance that its heartbeats carry.
 struct MembershipStatus
 {
     ObjectVersion settingsVersion; ///< Settings in force.
     bool storeReachable = false; ///< Whether the last store call succeeded.
-    std::vector<CellId> places; ///< Cells that it places.
+    std::vector<CellId> places; ///< Cells of which it is the placer.
 };
 
 /// \brief A heartbeat to send.
@@ -46,45 +46,46 @@
     Heartbeat heartbeat; ///< The message.
 };
 
-/// \brief What a call of Membership asks to be done.
+/// \brief Actions that result from a call of Membership.
 struct MembershipOutput
 {
     std::vector<HeartbeatSend> send; ///< Heartbeats to send.
-    std::optional<MembersEvent> members; ///< The new members, if anything changed.
+    std::optional<MembersEvent> members; ///< The new member list, if it changed.
     std::vector<LogAction> logs; ///< Lines for the decision log.
 };
 
 /// \brief Name of an instance without its start id: the part before '#'.
 [[nodiscard]] std::string instanceName(const InstanceId &id);
 
-/// \brief Keeps the list of entry instances and whether each is alive.
+/// \brief Tracks the entry instances and whether each is alive.
 class Membership
 {
 public:
     /// \name Construction
     /// @{
-    /// \brief Creates the membership of one instance, which starts alone.
+    /// \brief Creates the membership of one instance, which knows no others at first.
     /// \param self Name with start id.
     /// \param zone Its availability zone.
-    /// \param timing Timing; the silence limit must be at least two heartbeats.
+    /// \param timing Timing; silentAfter must be at least two heartbeat intervals.
     [[nodiscard]] static Result<Membership> create(InstanceId self, ZoneId zone,
                                                    MembershipTiming timing);
     /// @}
 
     /// \name Events
     /// @{
-    /// \brief Time has passed.
-    /// \param status What to say in heartbeats.
+    /// \brief Sends heartbeats and detects failed instances; call it regularly.
+    /// \param status State to send in heartbeats.
     /// \param now The current time.
     [[nodiscard]] MembershipOutput tick(const MembershipStatus &status, TimePoint now);
-    /// \brief A heartbeat arrived. Older ones than the last are dropped.
+    /// \brief Handles a received heartbeat. Those older than the last one are dropped.
     [[nodiscard]] MembershipOutput received(const InstanceId &from, const Heartbeat &heartbeat,
                                             TimePoint now);
-    /// \brief The platform's list was read. Targets in it are passed over.
+    /// \brief Handles a newly read list of the platform. Targets in it are ignored.
     [[nodiscard]] MembershipOutput listed(const std::vector<ListedInstance> &list, TimePoint now);
-    /// \brief The process was stopped: its own pause is no silence of the others.
+    /// \brief Handles a pause of this process, which must not count as missed heartbeats of the
+    /// others.
     void clockJumped(TimePoint now);
-    /// \brief This instance is stopping.
+    /// \brief Announces in heartbeats that this instance is stopping.
     void leave() noexcept { m_leaving = true; }
     /// @}
 
--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -1,4 +1,4 @@
-/// Plans the changes of one cell: unusable owners first, then imbalance, then merging.
+/// Plans the changes of one cell: unusable owners first, then imbalance, then merges.
 #include "placement_policy/capacity_tracker.hpp"
 #include "placement_policy/cell_model.hpp"
 #include "placement_policy/slice_split.hpp"
@@ -16,42 +16,42 @@
 
 namespace {
 
-/// Relief begins when a target's load to capacity exceeds the mean by this factor.
+/// Rebalancing starts when a target's utilization exceeds the mean by this factor.
 constexpr double reliefTrigger = 1.2;
-/// Relief goes on until no target exceeds the mean by this factor.
+/// Rebalancing continues until no target exceeds the mean by this factor.
 constexpr double reliefGoal = 1.12;
-/// An excess must last this long before it is relieved, so that noise and half-seen shifts are not.
+/// Time that an overload must last before rebalancing, to ignore noise and partly reported shifts.
 constexpr Duration reliefPatience = std::chrono::milliseconds(2000);
-/// Cells relieve in turns, so that they do not all choose the same new owner at once.
+/// Cells rebalance in turns, so that they do not all choose the same new owner at once.
 constexpr Duration turnLength = std::chrono::milliseconds(250);
 constexpr std::size_t turns = 6;
-/// A target takes no slice that would bring it beyond the mean by this factor.
+/// A target receives no slice that would raise it above the mean by this factor.
 constexpr double receiverLimit = 1.08;
-/// A slice larger than what has to go, by this factor, is cut first.
+/// A slice that exceeds the load to be moved by this factor is split first.
 constexpr double splitFactor = 1.4;
-/// A move of less than this part of the excess is not worth it if a slice can be cut instead.
+/// A move of less than this fraction of the excess is skipped if a slice can be split instead.
 constexpr double usefulPart = 0.5;
-/// Time for which a slice that was moved for balance stays where it is.
+/// Minimum time between two moves of a slice for balance.
 constexpr Duration moveCooldown = std::chrono::seconds(5);
-/// Load below which balance is not worth a move, in slots.
+/// Smallest excess load that justifies a move, in slots.
 constexpr double minReliefLoad = 0.2;
-/// Cells are merged beyond this many slices for each target.
+/// Slices are merged when there are more than this many per target.
 constexpr std::size_t mergeSlicesPerTarget = 24;
-/// Slices below this part of the mean slice load are merged.
+/// Slices below this fraction of the mean slice load are merged.
 constexpr double mergeLoadFactor = 0.5;
-/// The home zone is helped out when its load to capacity exceeds that of all zones by this factor.
+/// Other zones help when the home zone's utilization exceeds that of all zones by this factor.
 constexpr double lendTrigger = 1.15;
 /// The same while a target of the home zone is lost, slow or starting.
 constexpr double lendTriggerUnsound = 1.08;
-/// Lending ends below this.
+/// Help from other zones ends below this factor.
 constexpr double lendEnd = 1.03;
-/// While the home zone is helped out, slices return to targets that stay below the mean by this.
+/// While other zones help, slices return to home targets that stay below the mean by this factor.
 constexpr double returnLimit = 0.95;
-/// They do so once a home target's load to capacity is below the mean by this factor.
+/// They return once a home target's utilization is below the mean by this factor.
 constexpr double idleFactor = 0.5;
-/// The home zone must do without help this long before slices return.
+/// Time that the home zone must need no help before slices return.
 constexpr Duration lendPatience = std::chrono::seconds(2);
-/// Load to capacity up to which the home zone needs no help.
+/// Utilization up to which the home zone needs no help.
 constexpr double lendMinRatio = 0.5;
 
 } // namespace
@@ -97,9 +97,9 @@
     std::map<KeyRange, TimePoint> m_moved;
     bool m_relieving = false;
     bool m_lending = false;
-    bool m_returning = false; ///< Whether slices return to a home zone that was idle.
+    bool m_returning = false; ///< Whether slices are returning to an idle home zone.
     TimePoint m_helpNeededAt; ///< When the home zone last needed other zones.
-    TimePoint m_balancedAt; ///< When no target was overloaded last.
+    TimePoint m_balancedAt; ///< When last no target was overloaded.
 };
 
 std::vector<PlannedChange> CellBalancer::plan(const BalanceInput &input, TimePoint now)
@@ -125,7 +125,7 @@
 
 bool CellBalancer::shouldLend(const CellModel &model, TimePoint now)
 {
-    // What the home zone would carry if it kept all slices; soundness only bounds the capacity.
+    // Load of the home zone if it kept all slices; target health only limits the capacity.
     double homeLoad = model.totalLoad;
     double homeCapacity = 0;
     double allLoad = model.totalLoad;
@@ -146,7 +146,7 @@
     const double begin = homeIsSound ? lendTrigger : lendTriggerUnsound;
     const double factor = m_lending ? lendEnd : begin;
     const double homeRatio = homeCapacity > 0 ? homeLoad / homeCapacity : HUGE_VAL;
-    // Targets of unknown load are only used if the home zone has none that is sound.
+    // Targets of unknown load are used only if the home zone has no healthy one.
     const bool mayHelp = allCapacity > 0 && (othersAreKnown || homeCapacity <= 0);
     const bool needsHelp =
         mayHelp && homeRatio > lendMinRatio && homeRatio > factor * allLoad / allCapacity;
@@ -294,7 +294,7 @@
     const double wanted = std::min(excess, largestRoom(model, hot, mean));
     if (wanted <= 0)
         return false;
-    std::size_t best = noTarget; // the slice whose load is closest to what is wanted
+    std::size_t best = noTarget; // the slice whose load is closest to the wanted load
     std::size_t smallestLarger = noTarget;
     const auto distance = [&](std::size_t which) {
         return std::abs(model.slices[which].load - wanted);
--- a/src/placement_policy/capacity_tracker.cpp
+++ b/src/placement_policy/capacity_tracker.cpp
@@ -5,21 +5,21 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// Part of its capacity that a target is given while it starts.
+/// Fraction of its capacity that a target gets while it starts.
 constexpr double coldPart = 0.1;
-/// A start counts for this long after its first sign, as at the gates.
+/// Minimum time that a target counts as starting, the same as in the target gates.
 constexpr Duration minColdTime = std::chrono::seconds(12);
-/// Time in which a target that has started is brought from nothing to its full load.
+/// Time over which the load of a started target is raised from zero to full.
 constexpr Duration warmUpTime = std::chrono::seconds(4);
-/// A target is slow beyond this many times the targets' median slowdown.
+/// A target is slow if its slowdown exceeds the median by this factor.
 constexpr double slowThreshold = 2.5;
-/// Slowness must last longer than this before slices are moved for it.
+/// Time that a target must be slow before slices are moved away.
 constexpr Duration slowPatience = std::chrono::milliseconds(200);
-/// For this long after it ended slowness still counts; doubles with each relapse.
+/// Time that a target still counts as slow after it recovered; doubles with each relapse.
 constexpr Duration firstSlowMemory = std::chrono::seconds(10);
-/// Longest such time.
+/// Upper limit of that time.
 constexpr Duration maxSlowMemory = std::chrono::seconds(160);
-/// A target that stays well for this long starts again with the shortest memory.
+/// A target without slowness for this long starts again with the shortest time.
 constexpr Duration relapseTime = std::chrono::seconds(120);
 constexpr std::size_t half = 2;
 } // namespace
--- a/src/placement_policy/capacity_tracker.hpp
+++ b/src/placement_policy/capacity_tracker.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Follows how much of its capacity each target can use: slowness and starts count.
+/// \brief Tracks the usable capacity of targets, which is lower while they are slow or starting.
 #pragma once
 
 #include "yuccaspan/balancer.hpp"
@@ -9,12 +9,12 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Keeps, between plans, when each target was last cold or slow.
+/// \brief Remembers between plans when each target was last cold or slow.
 class CapacityTracker
 {
 public:
-    /// \brief Takes the present state of the targets.
-    /// \returns Slots that each target can use at present, in the order given.
+    /// \brief Updates the history from the current state of the targets.
+    /// \returns Currently usable slots of each target, in the order given.
     [[nodiscard]] std::vector<double> update(const std::vector<BalanceTarget> &targets,
                                              TimePoint now);
     /// \brief Whether a target counts as a straggler.
@@ -29,9 +29,9 @@
         double warmPart = 1; ///< Grows to 1 after a start.
         bool cold = false; ///< Counts as starting.
         bool slow = false; ///< Counts as a straggler.
-        Duration slowMemory{}; ///< How long the last slowness counts on.
-        TimePoint slowUntil; ///< Until when a past slowness counts.
-        TimePoint coldUntil; ///< Until when a start counts, whatever the target says.
+        Duration slowMemory{}; ///< How long the target still counts as slow after recovery.
+        TimePoint slowUntil; ///< End of counting as slow after recovery.
+        TimePoint coldUntil; ///< Earliest end of counting as starting, regardless of its reports.
         TimePoint updated; ///< Time of the last update.
     };
 
--- a/src/placement_policy/cell_model.cpp
+++ b/src/placement_policy/cell_model.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-/// Slot time of a request that is assumed before any was measured, in seconds.
+/// Assumed slot time of a request before any is measured, in seconds.
 constexpr double assumedSecondsPerRequest = 0.01;
-/// Load of the whole key space that is assumed on top, so that idle slices are spread as well.
+/// Load of the whole key space that is added, so that idle slices are spread as well.
 constexpr double idleLoad = 0.01;
-/// Lowest capacity in the model; keeps ratios finite.
+/// Lowest capacity in the model, to keep ratios finite.
 constexpr double minCapacity = 0.01;
 
-/// \brief Slot time of a request: the lower quartile over slices, which slow targets do not raise.
+/// \brief Slot time of a request: the lower quartile over slices, which slow targets hardly affect.
 [[nodiscard]] double typicalSecondsPerRequest(const std::vector<SliceLoad> &loads)
 {
     std::vector<double> samples;
--- a/src/placement_policy/initial_slices.cpp
+++ b/src/placement_policy/initial_slices.cpp
@@ -1,4 +1,4 @@
-/// Cuts the range of a new cell into slices.
+/// Divides the range of a new cell into slices.
 #include "yuccaspan/balancer.hpp"
 
 #include <algorithm>
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// \brief The targets that are to own slices: usable ones of the home zone, else of any zone.
+/// \brief The targets that will own slices: usable ones of the home zone, else of any zone.
 [[nodiscard]] std::vector<BalanceTarget> chooseOwners(const ZoneId &homeZone,
                                                       const std::vector<BalanceTarget> &targets)
 {
@@ -21,7 +21,7 @@
     return home.empty() ? usable : home;
 }
 
-/// \brief Owners in slice order: neighbouring slices have one owner, by capacity.
+/// \brief Owners in slice order: adjacent slices share an owner, in proportion to capacity.
 [[nodiscard]] std::vector<TargetId> ownersInOrder(const std::vector<BalanceTarget> &owners,
                                                   std::uint32_t slicesPerTarget)
 {
--- a/src/placement_policy/share_capacity.cpp
+++ b/src/placement_policy/share_capacity.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-/// Part of the capacity that is divided evenly, so that a new demand meets a share at once.
+/// Fraction of the capacity that is divided evenly, so that new demand has a share at once.
 constexpr double evenPart = 0.3;
 
-/// \brief The one instance that may send to the target while it starts: rendezvous hashing, so
-/// that it seldom changes and that starting targets are spread over the instances.
+/// \brief The only instance that may send to the target while it starts. Rendezvous hashing keeps
+/// it stable and spreads starting targets over the instances.
 [[nodiscard]] InstanceId coldInstance(const TargetId &target,
                                       const std::map<InstanceId, double> &demand)
 {
@@ -28,7 +28,7 @@
     return best;
 }
 
-/// \brief An instance's fraction of the whole, from its demand and the even part.
+/// \brief An instance's fraction of the capacity, from its demand and the evenly divided part.
 [[nodiscard]] double fractionOf(double demand, double total, std::size_t instances)
 {
     const double even = 1.0 / static_cast<double>(instances);
--- a/src/placement_policy/slice_split.cpp
+++ b/src/placement_policy/slice_split.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// A key is isolated if it carries this part of its slice's load.
+/// A key is isolated if it carries this fraction of its slice's load.
 constexpr double isolatePart = 0.4;
-/// The cut leaves at least this part of the range on either side.
+/// Each side of the split keeps at least this fraction of the range.
 constexpr double minRangePart = 0.1;
 
 [[nodiscard]] const HotKey *hottest(const ModelSlice &slice)
@@ -20,7 +20,7 @@
     return found == slice.hotKeys.end() ? nullptr : &*found;
 }
 
-/// \brief The position at which the wanted part of an even load lies below the cut.
+/// \brief The split point that leaves the wanted fraction of an evenly spread load below it.
 [[nodiscard]] KeyHash evenCut(const ModelSlice &slice, double wanted)
 {
     const double part =
--- a/tests/balance/cell_fixture.hpp
+++ b/tests/balance/cell_fixture.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief One cell whose planned changes take effect at once.
+/// \brief Fixture with one cell whose planned changes take effect at once.
 #pragma once
 
 #include "naive/balance_reference.hpp"
@@ -48,7 +48,7 @@
         result.loads = loads;
         return result;
     }
-    /// \brief Plans once and carries everything out; returns the plan.
+    /// \brief Plans once and applies all changes; returns the plan.
     std::vector<PlannedChange> step()
     {
         now += std::chrono::milliseconds(100);
@@ -57,7 +57,7 @@
             apply(change);
         return changes;
     }
-    /// \brief Plans for a while; returns the number of moves.
+    /// \brief Runs several planning steps; returns the number of moves.
     std::size_t run(int steps)
     {
         std::size_t moves = 0;
@@ -73,7 +73,7 @@
             std::count_if(record.slices.begin(), record.slices.end(),
                           [&](const auto &slice) { return slice.owner == targets[target].id; }));
     }
-    /// \brief Max over mean of load to capacity over usable targets.
+    /// \brief Highest utilization of the usable targets, relative to their mean.
     [[nodiscard]] double imbalance() const
     {
         const auto byTarget = naive::loadOfTargets(input());
--- a/tests/balance/test_balance.cpp
+++ b/tests/balance/test_balance.cpp
@@ -66,14 +66,14 @@
     cell.targets[0].cold = true;
     cell.run(5);
     EXPECT_EQ(cell.ownedBy(0), 0U);
-    cell.targets[0].cold = false; // its own word, too early
+    cell.targets[0].cold = false; // reported by the target too early
     cell.run(tenSeconds);
     EXPECT_EQ(cell.ownedBy(0), 0U);
     cell.run(2 * tenSeconds);
     EXPECT_GT(cell.ownedBy(0), 0U);
 }
 
-TEST(Balance, LeavesAStragglerOnlyOnceItsSlownessLasts)
+TEST(Balance, MovesSlicesOffAStragglerOnlyIfItStaysSlow)
 {
     CellFixture cell(8, 0, 4);
     cell.setLoads(std::vector<double>(32, 10));
@@ -96,7 +96,7 @@
     EXPECT_EQ(cell.run(tenSeconds), 0U);
 }
 
-TEST(Balance, CutsAHotKeyIntoASliceOfItsOwn)
+TEST(Balance, SplitsAHotKeyIntoItsOwnSlice)
 {
     CellFixture cell(4, 0, 2);
     std::vector<double> rates(8, 10);
@@ -110,7 +110,7 @@
                                return slice.range == KeyRange{hot, hot};
                            });
     };
-    // The fixture spreads loads evenly, so only the cuts are carried out with the key's rate kept.
+    // The fixture spreads loads evenly, so only the splits are applied, and the key's rate is kept.
     for (int step = 0; step < tenSeconds && !isAlone(); ++step) {
         cell.step();
         std::vector<double> now;
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -35,7 +35,7 @@
     return found == output.members->members.end() ? nullptr : &*found;
 }
 
-TEST(Membership, HeartbeatsMakeAliveAndSilenceEndsIt)
+TEST(Membership, InstancesAreAliveUntilTheirHeartbeatsStop)
 {
     Membership membership = makeMembership();
     const auto heard = membership.received(InstanceId("b#1"), beat(1), at(1000));
@@ -59,7 +59,7 @@
     EXPECT_FALSE(find(output, "b#1")->alive);
 }
 
-TEST(Membership, ListGivesPeersToSendTo)
+TEST(Membership, SendsHeartbeatsToListedInstances)
 {
     Membership membership = makeMembership();
     const auto listed = membership.listed({{"a#1", "entry", ZoneId("z"), "", false},
@@ -80,7 +80,7 @@
     EXPECT_EQ(membership.tick(status, at(1100)).send.size(), 1U);
 }
 
-TEST(Membership, OwnPauseIsNoSilenceOfOthers)
+TEST(Membership, APauseOfThisProcessDoesNotMakeOthersNotAlive)
 {
     Membership membership = makeMembership();
     (void)membership.received(InstanceId("b#1"), beat(1), at(1000));
@@ -89,7 +89,7 @@
     EXPECT_TRUE(membership.tick({}, at(9450)).members.has_value());
 }
 
-TEST(Membership, ForgetsWhoIsNeitherListedNorHeard)
+TEST(Membership, RemovesInstancesThatAreNeitherListedNorHeard)
 {
     Membership membership = makeMembership();
     (void)membership.received(InstanceId("b#1"), beat(1), at(1000));
@@ -99,7 +99,7 @@
     EXPECT_EQ(find(output, "b#1"), nullptr);
 }
 
-TEST(Membership, RejectsTimingThatSuspectsEveryone)
+TEST(Membership, RejectsASilenceLimitBelowTwoHeartbeats)
 {
     MembershipTiming timing;
     timing.silentAfter = timing.heartbeatInterval;
