Wording of the placement policy's names and the platform's error texts

Placement policy: "relief" is now rebalancing, "lending" is spillover to other zones, a recovered straggler is on probation (reliefPatience -> rebalanceDelay, lendTrigger -> spilloverTrigger, slowMemory -> probation, noteSlowness -> updateSlowness, coolest -> leastLoaded, isSound -> isHealthy). Limits and timeouts: holdMost -> maxHold (the settings key holdMostS stays), silentAfter -> heartbeatTimeout, forgetSilent -> removeExpired. No test or script matches the texts that changed.

--- a/include/yuccaspan/membership.hpp
+++ b/include/yuccaspan/membership.hpp
@@ -25,7 +25,7 @@
 struct MembershipTiming
 {
     Duration heartbeatInterval = std::chrono::milliseconds(100); ///< Interval between heartbeats.
-    Duration silentAfter = std::chrono::milliseconds(
+    Duration heartbeatTimeout = std::chrono::milliseconds(
         450); ///< Time without a heartbeat until an instance counts as not alive.
     Duration forgetAfter =
         std::chrono::seconds(30); ///< Time without a heartbeat until it is removed.
@@ -66,7 +66,7 @@
     /// \brief Creates the membership of one instance, which knows no others at first.
     /// \param self Name with start id.
     /// \param zone Its availability zone.
-    /// \param timing Timing; silentAfter must be at least two heartbeat intervals.
+    /// \param timing Timing; heartbeatTimeout must be at least two heartbeat intervals.
     [[nodiscard]] static Result<Membership> create(InstanceId self, ZoneId zone,
                                                    MembershipTiming timing);
     /// @}
@@ -107,7 +107,7 @@
     [[nodiscard]] bool isAlive(const Peer &peer, TimePoint now) const;
     [[nodiscard]] Heartbeat makeHeartbeat(const MembershipStatus &status, TimePoint now);
     [[nodiscard]] std::vector<Member> currentMembers(TimePoint now) const;
-    void forgetSilent(TimePoint now);
+    void removeExpired(TimePoint now);
     void reportChanges(MembershipOutput &output, TimePoint now);
 
     InstanceId m_self;
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -236,7 +236,7 @@
         stored = std::move(*map);
     }
     PlacerTiming timing;
-    timing.hold = std::min(timing.hold, m_gateway.options.holdMost);
+    timing.hold = std::min(timing.hold, m_gateway.options.maxHold);
     placing->revision = found ? found->revision : 0;
     placing->placer = ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
     placing->placer->adopt(stored, m_gateway.now());
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -36,7 +36,7 @@
     Duration evacuateWithin =
         std::chrono::seconds(5); ///< Time until an evacuated zone gets no more requests.
     Duration stopWithin = std::chrono::seconds(6); ///< From SIGTERM to the end of the process.
-    Duration holdMost = std::chrono::seconds(10); ///< Longest grant that targets accept.
+    Duration maxHold = std::chrono::seconds(10); ///< Longest grant that targets accept.
 };
 
 /// \brief A target with its connections and the local state about it.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -54,7 +54,8 @@
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint)
-        return Error{ErrorCode::InvalidArgument, "not an address and port: " + address, {}};
+        return Error{
+            ErrorCode::InvalidArgument, "invalid address (expected IP:port): " + address, {}};
     beast::error_code failure;
     acceptor.open(endpoint->protocol(), failure);
     if (!failure)
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -13,10 +13,10 @@
 Result<Membership> Membership::create(InstanceId self, ZoneId zone, MembershipTiming timing)
 {
     if (self.empty())
-        return Error{ErrorCode::InvalidArgument, "the instance has no name", {}};
+        return Error{ErrorCode::InvalidArgument, "instance name is empty", {}};
     if (timing.heartbeatInterval <= Duration::zero())
         return Error{ErrorCode::InvalidArgument, "the heartbeat interval must be positive", {}};
-    if (timing.silentAfter < 2 * timing.heartbeatInterval)
+    if (timing.heartbeatTimeout < 2 * timing.heartbeatInterval)
         return Error{
             ErrorCode::InvalidArgument, "the silence limit must be at least two heartbeats", {}};
     return Membership(std::move(self), std::move(zone), timing);
@@ -29,7 +29,7 @@
 MembershipOutput Membership::tick(const MembershipStatus &status, TimePoint now)
 {
     MembershipOutput output;
-    forgetSilent(now);
+    removeExpired(now);
     if (!m_lastSent || now - *m_lastSent >= m_timing.heartbeatInterval) {
         m_lastSent = now;
         const Heartbeat heartbeat = makeHeartbeat(status, now);
@@ -101,7 +101,7 @@
 
 bool Membership::isAlive(const Peer &peer, TimePoint now) const
 {
-    return peer.heard && now - peer.lastHeard < m_timing.silentAfter;
+    return peer.heard && now - peer.lastHeard < m_timing.heartbeatTimeout;
 }
 
 Heartbeat Membership::makeHeartbeat(const MembershipStatus &status, TimePoint now)
@@ -135,7 +135,7 @@
     return members;
 }
 
-void Membership::forgetSilent(TimePoint now)
+void Membership::removeExpired(TimePoint now)
 {
     std::erase_if(m_peers, [&](const auto &entry) {
         const Peer &peer = entry.second;
@@ -155,7 +155,8 @@
         if (member.alive != wasAlive) {
             output.logs.push_back(
                 {"membership",
-                 "Instance " + member.id.text() + (member.alive ? " is alive." : " is silent.")});
+                 "Instance " + member.id.text()
+                     + (member.alive ? " is alive." : " timed out: no heartbeat.")});
         }
     }
     m_reported = members;
--- a/src/placement_policy/balancer.cpp
+++ b/src/placement_policy/balancer.cpp
@@ -17,11 +17,11 @@
 namespace {
 
 /// Rebalancing starts when a target's utilization exceeds the mean by this factor.
-constexpr double reliefTrigger = 1.2;
+constexpr double rebalanceTrigger = 1.2;
 /// Rebalancing continues until no target exceeds the mean by this factor.
-constexpr double reliefGoal = 1.12;
+constexpr double rebalanceGoal = 1.12;
 /// Time that an overload must last before rebalancing, to ignore noise and partly reported shifts.
-constexpr Duration reliefPatience = std::chrono::milliseconds(2000);
+constexpr Duration rebalanceDelay = std::chrono::milliseconds(2000);
 /// Cells rebalance in turns, so that they do not all choose the same new owner at once.
 constexpr Duration turnLength = std::chrono::milliseconds(250);
 constexpr std::size_t turns = 6;
@@ -30,29 +30,29 @@
 /// A slice that exceeds the load to be moved by this factor is split first.
 constexpr double splitFactor = 1.4;
 /// A move of less than this fraction of the excess is skipped if a slice can be split instead.
-constexpr double usefulPart = 0.5;
+constexpr double minMoveFraction = 0.5;
 /// Minimum time between two moves of a slice for balance.
 constexpr Duration moveCooldown = std::chrono::seconds(5);
 /// Smallest excess load that justifies a move, in slots.
-constexpr double minReliefLoad = 0.2;
+constexpr double minRebalanceLoad = 0.2;
 /// Slices are merged when there are more than this many per target.
 constexpr std::size_t mergeSlicesPerTarget = 24;
 /// Slices below this fraction of the mean slice load are merged.
 constexpr double mergeLoadFactor = 0.5;
 /// Other zones help when the home zone's utilization exceeds that of all zones by this factor.
-constexpr double lendTrigger = 1.15;
+constexpr double spilloverTrigger = 1.15;
 /// The same while a target of the home zone is lost, slow or starting.
-constexpr double lendTriggerUnsound = 1.08;
+constexpr double spilloverTriggerUnhealthy = 1.08;
 /// Help from other zones ends below this factor.
-constexpr double lendEnd = 1.03;
+constexpr double spilloverEnd = 1.03;
 /// While other zones help, slices return to home targets that stay below the mean by this factor.
 constexpr double returnLimit = 0.95;
 /// They return once a home target's utilization is below the mean by this factor.
 constexpr double idleFactor = 0.5;
 /// Time that the home zone must need no help before slices return.
-constexpr Duration lendPatience = std::chrono::seconds(2);
+constexpr Duration spilloverEndDelay = std::chrono::seconds(2);
 /// Utilization up to which the home zone needs no help.
-constexpr double lendMinRatio = 0.5;
+constexpr double spilloverMinRatio = 0.5;
 
 } // namespace
 
@@ -65,7 +65,7 @@
     std::vector<PlannedChange> changes;
     std::uint32_t movesLeft = 0;
     std::size_t slicesLeft = 0;
-    std::set<std::size_t> cut; ///< Slices that are split or merged in this plan.
+    std::set<std::size_t> resized; ///< Slices that are split or merged in this plan.
 };
 
 class CellBalancer final : public Balancer
@@ -76,16 +76,16 @@
 
 private:
     void chooseEligible(CellModel &model, TimePoint now);
-    [[nodiscard]] bool shouldLend(const CellModel &model, TimePoint now);
+    [[nodiscard]] bool shouldSpillOver(const CellModel &model, TimePoint now);
     void evacuate(PlanDraft &draft);
-    [[nodiscard]] static std::string reasonToLeave(const CellModel &model, std::size_t slice);
+    [[nodiscard]] static std::string evacuationReason(const CellModel &model, std::size_t slice);
     void returnHome(PlanDraft &draft);
-    void relieve(PlanDraft &draft);
+    void rebalance(PlanDraft &draft);
     [[nodiscard]] static bool isTurnOf(const CellId &cell, TimePoint now);
-    [[nodiscard]] bool shouldRelieve(double excessFactor, TimePoint now);
-    [[nodiscard]] bool relieveOnce(PlanDraft &draft, std::size_t hot, double mean);
-    [[nodiscard]] static double largestRoom(const CellModel &model, std::size_t except,
-                                            double mean);
+    [[nodiscard]] bool shouldRebalance(double excessFactor, TimePoint now);
+    [[nodiscard]] bool rebalanceOnce(PlanDraft &draft, std::size_t hottest, double mean);
+    [[nodiscard]] static double largestHeadroom(const CellModel &model, std::size_t except,
+                                                double mean);
     [[nodiscard]] static bool fits(const CellModel &model, std::size_t slice, double mean);
     [[nodiscard]] bool splitToFit(PlanDraft &draft, std::size_t slice, double wanted);
     void merge(PlanDraft &draft) const;
@@ -95,8 +95,8 @@
 
     CapacityTracker m_capacity;
     std::map<KeyRange, TimePoint> m_moved;
-    bool m_relieving = false;
-    bool m_lending = false;
+    bool m_rebalancing = false;
+    bool m_spillingOver = false;
     bool m_returning = false; ///< Whether slices are returning to an idle home zone.
     TimePoint m_helpNeededAt; ///< When the home zone last needed other zones.
     TimePoint m_balancedAt; ///< When last no target was overloaded.
@@ -118,23 +118,23 @@
     chooseEligible(draft.model, now);
     evacuate(draft);
     returnHome(draft);
-    relieve(draft);
+    rebalance(draft);
     merge(draft);
     return std::move(draft.changes);
 }
 
-bool CellBalancer::shouldLend(const CellModel &model, TimePoint now)
+bool CellBalancer::shouldSpillOver(const CellModel &model, TimePoint now)
 {
     // Load of the home zone if it kept all slices; target health only limits the capacity.
     double homeLoad = model.totalLoad;
     double homeCapacity = 0;
     double allLoad = model.totalLoad;
     double allCapacity = 0;
-    bool homeIsSound = true;
+    bool homeIsHealthy = true;
     bool othersAreKnown = true;
     for (const ModelTarget &target : model.targets) {
-        if (!target.usable || !target.isSound()) {
-            homeIsSound = homeIsSound && !target.home;
+        if (!target.usable || !target.isHealthy()) {
+            homeIsHealthy = homeIsHealthy && !target.home;
             continue;
         }
         othersAreKnown = othersAreKnown && (target.home || target.otherLoadKnown);
@@ -143,16 +143,16 @@
         homeLoad += target.home ? target.otherLoad : 0;
         homeCapacity += target.home ? target.capacity : 0;
     }
-    const double begin = homeIsSound ? lendTrigger : lendTriggerUnsound;
-    const double factor = m_lending ? lendEnd : begin;
+    const double begin = homeIsHealthy ? spilloverTrigger : spilloverTriggerUnhealthy;
+    const double factor = m_spillingOver ? spilloverEnd : begin;
     const double homeRatio = homeCapacity > 0 ? homeLoad / homeCapacity : HUGE_VAL;
     // Targets of unknown load are used only if the home zone has no healthy one.
     const bool mayHelp = allCapacity > 0 && (othersAreKnown || homeCapacity <= 0);
     const bool needsHelp =
-        mayHelp && homeRatio > lendMinRatio && homeRatio > factor * allLoad / allCapacity;
+        mayHelp && homeRatio > spilloverMinRatio && homeRatio > factor * allLoad / allCapacity;
     if (needsHelp)
         m_helpNeededAt = now;
-    return needsHelp || (m_lending && now - m_helpNeededAt < lendPatience);
+    return needsHelp || (m_spillingOver && now - m_helpNeededAt < spilloverEndDelay);
 }
 
 void CellBalancer::chooseEligible(CellModel &model, TimePoint now)
@@ -165,11 +165,13 @@
         }
         return any;
     };
-    m_lending = shouldLend(model, now);
-    const auto warmHome = [](const ModelTarget &target) { return target.isSound() && target.home; };
-    const auto warm = [](const ModelTarget &target) { return target.isSound(); };
+    m_spillingOver = shouldSpillOver(model, now);
+    const auto warmHome = [](const ModelTarget &target) {
+        return target.isHealthy() && target.home;
+    };
+    const auto warm = [](const ModelTarget &target) { return target.isHealthy(); };
     const auto home = [](const ModelTarget &target) { return target.home; };
-    if (!m_lending && mark(warmHome))
+    if (!m_spillingOver && mark(warmHome))
         return;
     if (mark(warm) || mark(home))
         return;
@@ -186,7 +188,7 @@
     m_moved[range] = draft.now;
 }
 
-std::string CellBalancer::reasonToLeave(const CellModel &model, std::size_t slice)
+std::string CellBalancer::evacuationReason(const CellModel &model, std::size_t slice)
 {
     const std::size_t owner = model.slices[slice].owner;
     if (owner == noTarget)
@@ -203,7 +205,7 @@
     for (std::size_t index = 0; index < model.slices.size(); ++index) {
         const ModelSlice &slice = model.slices[index];
         const bool stays = slice.owner != noTarget && model.targets[slice.owner].usable
-            && (model.targets[slice.owner].isSound() || model.targets[slice.owner].eligible);
+            && (model.targets[slice.owner].isHealthy() || model.targets[slice.owner].eligible);
         if (!stays && !slice.moving)
             leaving.push_back(index);
     }
@@ -211,10 +213,10 @@
         return model.slices[left].load > model.slices[right].load;
     });
     for (const std::size_t slice : leaving) {
-        const std::size_t target = model.coolest(model.slices[slice].load);
+        const std::size_t target = model.leastLoaded(model.slices[slice].load);
         if (draft.movesLeft == 0 || target == noTarget)
             return;
-        planMove(draft, slice, target, reasonToLeave(model, slice));
+        planMove(draft, slice, target, evacuationReason(model, slice));
     }
 }
 
@@ -227,18 +229,18 @@
             return target.eligible && target.home && target.ratio() < idleFactor * mean;
         });
     m_returning = homeIsIdle || (m_returning && draft.movesLeft < draft.input.maxMoves);
-    if (m_lending && !m_returning)
+    if (m_spillingOver && !m_returning)
         return;
     for (std::size_t index = 0; index < model.slices.size(); ++index) {
         const ModelSlice &slice = model.slices[index];
         if (slice.moving || slice.owner == noTarget || model.targets[slice.owner].home
             || recentlyMoved(slice.range, draft.now))
             continue;
-        const std::size_t target = model.coolest(slice.load, true);
+        const std::size_t target = model.leastLoaded(slice.load, true);
         if (draft.movesLeft == 0 || target == noTarget)
             return;
         const ModelTarget &home = model.targets[target];
-        if (m_lending && home.load + slice.load > returnLimit * mean * home.capacity)
+        if (m_spillingOver && home.load + slice.load > returnLimit * mean * home.capacity)
             continue;
         planMove(draft, index, target, "home zone is back");
     }
@@ -250,48 +252,49 @@
     return hashKey(cell.zone.text() + '/' + std::to_string(cell.index)) % turns == turn;
 }
 
-void CellBalancer::relieve(PlanDraft &draft)
+void CellBalancer::rebalance(PlanDraft &draft)
 {
     CellModel &model = draft.model;
-    if (model.totalLoad < minReliefLoad)
+    if (model.totalLoad < minRebalanceLoad)
         return;
     const double mean = model.meanRatio();
     while (draft.movesLeft > 0) {
-        std::size_t hot = noTarget;
+        std::size_t hottest = noTarget;
         for (std::size_t index = 0; index < model.targets.size(); ++index) {
-            const bool hotter =
-                hot == noTarget || model.targets[index].ratio() > model.targets[hot].ratio();
+            const bool hotter = hottest == noTarget
+                || model.targets[index].ratio() > model.targets[hottest].ratio();
             if (model.targets[index].eligible && hotter)
-                hot = index;
+                hottest = index;
         }
-        if (hot == noTarget)
+        if (hottest == noTarget)
             return;
-        if (!shouldRelieve(model.targets[hot].ratio() / mean, draft.now)
-            || !isTurnOf(draft.input.record->cell, draft.now) || !relieveOnce(draft, hot, mean))
+        if (!shouldRebalance(model.targets[hottest].ratio() / mean, draft.now)
+            || !isTurnOf(draft.input.record->cell, draft.now)
+            || !rebalanceOnce(draft, hottest, mean))
             return;
     }
 }
 
-bool CellBalancer::shouldRelieve(double excessFactor, TimePoint now)
+bool CellBalancer::shouldRebalance(double excessFactor, TimePoint now)
 {
-    if (m_relieving) {
-        m_relieving = excessFactor > reliefGoal;
-        if (!m_relieving)
+    if (m_rebalancing) {
+        m_rebalancing = excessFactor > rebalanceGoal;
+        if (!m_rebalancing)
             m_balancedAt = now;
-        return m_relieving;
+        return m_rebalancing;
     }
-    if (excessFactor <= reliefTrigger)
+    if (excessFactor <= rebalanceTrigger)
         m_balancedAt = now;
-    m_relieving = now - m_balancedAt >= reliefPatience;
-    return m_relieving;
+    m_rebalancing = now - m_balancedAt >= rebalanceDelay;
+    return m_rebalancing;
 }
 
-bool CellBalancer::relieveOnce(PlanDraft &draft, std::size_t hot, double mean)
+bool CellBalancer::rebalanceOnce(PlanDraft &draft, std::size_t hottest, double mean)
 {
     CellModel &model = draft.model;
-    const ModelTarget &source = model.targets[hot];
-    const double excess = source.load - reliefGoal * mean * source.capacity;
-    const double wanted = std::min(excess, largestRoom(model, hot, mean));
+    const ModelTarget &source = model.targets[hottest];
+    const double excess = source.load - rebalanceGoal * mean * source.capacity;
+    const double wanted = std::min(excess, largestHeadroom(model, hottest, mean));
     if (wanted <= 0)
         return false;
     std::size_t best = noTarget; // the slice whose load is closest to the wanted load
@@ -301,7 +304,7 @@
     };
     for (std::size_t index = 0; index < model.slices.size(); ++index) {
         const ModelSlice &slice = model.slices[index];
-        if (slice.owner != hot || slice.moving || draft.cut.contains(index)
+        if (slice.owner != hottest || slice.moving || draft.resized.contains(index)
             || recentlyMoved(slice.range, draft.now))
             continue;
         const bool larger = slice.load > splitFactor * wanted || !fits(model, index, mean);
@@ -311,17 +314,17 @@
             && (smallestLarger == noTarget || slice.load < model.slices[smallestLarger].load))
             smallestLarger = index;
     }
-    const double part = best == noTarget ? 0 : model.slices[best].load / wanted;
-    if (part < usefulPart && smallestLarger != noTarget
+    const double fraction = best == noTarget ? 0 : model.slices[best].load / wanted;
+    if (fraction < minMoveFraction && smallestLarger != noTarget
         && splitToFit(draft, smallestLarger, wanted))
         return false;
     if (best == noTarget)
         return false;
-    planMove(draft, best, model.coolest(model.slices[best].load), "target is overloaded");
+    planMove(draft, best, model.leastLoaded(model.slices[best].load), "target is overloaded");
     return true;
 }
 
-double CellBalancer::largestRoom(const CellModel &model, std::size_t except, double mean)
+double CellBalancer::largestHeadroom(const CellModel &model, std::size_t except, double mean)
 {
     double largest = 0;
     for (std::size_t index = 0; index < model.targets.size(); ++index) {
@@ -335,7 +338,7 @@
 bool CellBalancer::fits(const CellModel &model, std::size_t slice, double mean)
 {
     const double load = model.slices[slice].load;
-    const std::size_t cool = model.coolest(load);
+    const std::size_t cool = model.leastLoaded(load);
     if (cool == noTarget || cool == model.slices[slice].owner)
         return false;
     const ModelTarget &target = model.targets[cool];
@@ -350,7 +353,7 @@
     if (!position)
         return false;
     draft.changes.emplace_back(PlannedSplit{draft.model.slices[slice].range, *position});
-    draft.cut.insert(slice);
+    draft.resized.insert(slice);
     --draft.slicesLeft;
     return true;
 }
@@ -368,8 +371,8 @@
     for (std::size_t index = 0; index + 1 < model.slices.size(); ++index) {
         const ModelSlice &lower = model.slices[index];
         const ModelSlice &upper = model.slices[index + 1];
-        const bool busy = lower.moving || upper.moving || draft.cut.contains(index)
-            || draft.cut.contains(index + 1);
+        const bool busy = lower.moving || upper.moving || draft.resized.contains(index)
+            || draft.resized.contains(index + 1);
         if (busy || lower.owner != upper.owner || lower.load + upper.load > small)
             continue;
         draft.changes.emplace_back(PlannedMerge{lower.range, upper.range});
--- a/src/placement_policy/capacity_tracker.cpp
+++ b/src/placement_policy/capacity_tracker.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 /// Fraction of its capacity that a target gets while it starts.
-constexpr double coldPart = 0.1;
+constexpr double coldFraction = 0.1;
 /// Minimum time that a target counts as starting, the same as in the target gates.
 constexpr Duration minColdTime = std::chrono::seconds(12);
 /// Time over which the load of a started target is raised from zero to full.
@@ -14,13 +14,13 @@
 /// A target is slow if its slowdown exceeds the median by this factor.
 constexpr double slowThreshold = 2.5;
 /// Time that a target must be slow before slices are moved away.
-constexpr Duration slowPatience = std::chrono::milliseconds(200);
-/// Time that a target still counts as slow after it recovered; doubles with each relapse.
-constexpr Duration firstSlowMemory = std::chrono::seconds(10);
-/// Upper limit of that time.
-constexpr Duration maxSlowMemory = std::chrono::seconds(160);
-/// A target without slowness for this long starts again with the shortest time.
-constexpr Duration relapseTime = std::chrono::seconds(120);
+constexpr Duration minSlowTime = std::chrono::milliseconds(200);
+/// Probation: time that a recovered target still counts as slow; doubles with each relapse.
+constexpr Duration initialProbation = std::chrono::seconds(10);
+/// Upper limit of the probation.
+constexpr Duration maxProbation = std::chrono::seconds(160);
+/// After this long without slowness, the next probation is the initial one.
+constexpr Duration relapseWindow = std::chrono::seconds(120);
 constexpr std::size_t half = 2;
 } // namespace
 
@@ -28,14 +28,14 @@
                                             TimePoint now)
 {
     std::vector<double> capacity;
-    const double usual = medianSlowdown(targets);
+    const double median = medianSlowdown(targets);
     for (const BalanceTarget &target : targets) {
         History &history = m_history[target.id];
-        noteStart(history, target, now);
-        noteSlowness(history, target, usual, now);
+        updateWarmUp(history, target, now);
+        updateSlowness(history, target, median, now);
         history.known = true;
         history.updated = now;
-        capacity.push_back(target.capacity * history.warmPart);
+        capacity.push_back(target.capacity * history.warmUpFraction);
     }
     return capacity;
 }
@@ -52,41 +52,41 @@
     return found != m_history.end() && found->second.cold;
 }
 
-void CapacityTracker::noteStart(History &history, const BalanceTarget &target, TimePoint now)
+void CapacityTracker::updateWarmUp(History &history, const BalanceTarget &target, TimePoint now)
 {
-    const bool firstSign = target.cold && !history.cold;
-    if (firstSign)
+    const bool becameCold = target.cold && !history.cold;
+    if (becameCold)
         history.coldUntil = now + minColdTime;
     if (target.cold || now < history.coldUntil) {
-        history.warmPart = coldPart;
+        history.warmUpFraction = coldFraction;
         history.cold = true;
         return;
     }
     history.cold = false;
-    if (!history.known || history.warmPart >= 1)
+    if (!history.known || history.warmUpFraction >= 1)
         return;
     const auto elapsed = static_cast<double>((now - history.updated).count());
     const double step = elapsed / static_cast<double>(warmUpTime.count());
-    history.warmPart = std::min(1.0, history.warmPart + std::max(0.0, step));
+    history.warmUpFraction = std::min(1.0, history.warmUpFraction + std::max(0.0, step));
 }
 
-void CapacityTracker::noteSlowness(History &history, const BalanceTarget &target, double usual,
-                                   TimePoint now)
+void CapacityTracker::updateSlowness(History &history, const BalanceTarget &target, double median,
+                                     TimePoint now)
 {
-    if (target.slowdown > slowThreshold * usual && target.slowFor >= slowPatience) {
+    if (target.slowdown > slowThreshold * median && target.slowFor >= minSlowTime) {
         if (!history.slow) {
             const bool relapse =
-                history.slowMemory > Duration(0) && now < history.slowUntil + relapseTime;
-            history.slowMemory =
-                relapse ? std::min(2 * history.slowMemory, maxSlowMemory) : firstSlowMemory;
+                history.probation > Duration(0) && now < history.slowUntil + relapseWindow;
+            history.probation =
+                relapse ? std::min(2 * history.probation, maxProbation) : initialProbation;
         }
         history.slow = true;
-        history.slowUntil = now + history.slowMemory;
+        history.slowUntil = now + history.probation;
         return;
     }
     if (history.slow && now >= history.slowUntil) {
         history.slow = false;
-        history.warmPart = coldPart;
+        history.warmUpFraction = coldFraction;
     }
 }
 
--- a/src/placement_policy/capacity_tracker.hpp
+++ b/src/placement_policy/capacity_tracker.hpp
@@ -26,18 +26,18 @@
     struct History
     {
         bool known = false;
-        double warmPart = 1; ///< Grows to 1 after a start.
+        double warmUpFraction = 1; ///< Grows to 1 after a start.
         bool cold = false; ///< Counts as starting.
         bool slow = false; ///< Counts as a straggler.
-        Duration slowMemory{}; ///< How long the target still counts as slow after recovery.
+        Duration probation{}; ///< How long the target still counts as slow after recovery.
         TimePoint slowUntil; ///< End of counting as slow after recovery.
         TimePoint coldUntil; ///< Earliest end of counting as starting, regardless of its reports.
         TimePoint updated; ///< Time of the last update.
     };
 
-    static void noteStart(History &history, const BalanceTarget &target, TimePoint now);
-    static void noteSlowness(History &history, const BalanceTarget &target, double usual,
-                             TimePoint now);
+    static void updateWarmUp(History &history, const BalanceTarget &target, TimePoint now);
+    static void updateSlowness(History &history, const BalanceTarget &target, double median,
+                               TimePoint now);
     [[nodiscard]] static double medianSlowdown(const std::vector<BalanceTarget> &targets);
 
     std::map<TargetId, History> m_history;
--- a/src/placement_policy/cell_model.cpp
+++ b/src/placement_policy/cell_model.cpp
@@ -122,7 +122,7 @@
     targets[target].load += moved.load;
 }
 
-std::size_t CellModel::coolest(double load, bool onlyHome) const noexcept
+std::size_t CellModel::leastLoaded(double load, bool onlyHome) const noexcept
 {
     std::size_t best = noTarget;
     double bestRatio = 0;
--- a/src/placement_policy/cell_model.hpp
+++ b/src/placement_policy/cell_model.hpp
@@ -45,7 +45,7 @@
     double load = 0; ///< Load of all its slices, in slots.
 
     /// \brief Whether it can carry its full load.
-    [[nodiscard]] bool isSound() const noexcept { return warm && !slow; }
+    [[nodiscard]] bool isHealthy() const noexcept { return warm && !slow; }
     /// \brief Utilization: load divided by capacity.
     [[nodiscard]] double ratio() const noexcept { return load / capacity; }
 };
@@ -69,7 +69,7 @@
     /// \brief The eligible target with the lowest utilization after adding the load.
     /// \param load The load to add.
     /// \param onlyHome Whether it must be in the home zone.
-    [[nodiscard]] std::size_t coolest(double load, bool onlyHome = false) const noexcept;
+    [[nodiscard]] std::size_t leastLoaded(double load, bool onlyHome = false) const noexcept;
     /// \brief Mean utilization of the eligible targets.
     [[nodiscard]] double meanRatio() const noexcept;
 
--- a/src/placement_policy/share_capacity.cpp
+++ b/src/placement_policy/share_capacity.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Fraction of the capacity that is divided evenly, so that new demand has a share at once.
-constexpr double evenPart = 0.3;
+constexpr double evenFraction = 0.3;
 
 /// \brief The only instance that may send to the target while it starts. Rendezvous hashing keeps
 /// it stable and spreads starting targets over the instances.
@@ -34,7 +34,7 @@
     const double even = 1.0 / static_cast<double>(instances);
     if (total <= 0)
         return even;
-    return evenPart * even + (1 - evenPart) * std::max(0.0, demand) / total;
+    return evenFraction * even + (1 - evenFraction) * std::max(0.0, demand) / total;
 }
 
 } // namespace
--- a/src/placement_policy/slice_split.cpp
+++ b/src/placement_policy/slice_split.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 /// A key is isolated if it carries this fraction of its slice's load.
-constexpr double isolatePart = 0.4;
+constexpr double isolateFraction = 0.4;
 /// Each side of the split keeps at least this fraction of the range.
-constexpr double minRangePart = 0.1;
+constexpr double minRangeFraction = 0.1;
 
 [[nodiscard]] const HotKey *hottest(const ModelSlice &slice)
 {
@@ -21,12 +21,12 @@
 }
 
 /// \brief The split point that leaves the wanted fraction of an evenly spread load below it.
-[[nodiscard]] KeyHash evenCut(const ModelSlice &slice, double wanted)
+[[nodiscard]] KeyHash evenSplit(const ModelSlice &slice, double wanted)
 {
-    const double part =
-        std::clamp(wanted / std::max(slice.load, 1e-9), minRangePart, 1 - minRangePart);
+    const double fraction =
+        std::clamp(wanted / std::max(slice.load, 1e-9), minRangeFraction, 1 - minRangeFraction);
     const auto width = static_cast<double>(slice.range.last - slice.range.first);
-    const auto offset = static_cast<KeyHash>(width * part);
+    const auto offset = static_cast<KeyHash>(width * fraction);
     return slice.range.first + std::max<KeyHash>(1, offset);
 }
 
@@ -37,8 +37,8 @@
     if (slice.range.first == slice.range.last)
         return std::nullopt;
     const HotKey *key = hottest(slice);
-    if (key == nullptr || key->load < isolatePart * slice.load)
-        return evenCut(slice, wanted);
+    if (key == nullptr || key->load < isolateFraction * slice.load)
+        return evenSplit(slice, wanted);
     return key->hash > slice.range.first ? key->hash : key->hash + 1;
 }
 
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -102,7 +102,7 @@
 TEST(Membership, RejectsASilenceLimitBelowTwoHeartbeats)
 {
     MembershipTiming timing;
-    timing.silentAfter = timing.heartbeatInterval;
+    timing.heartbeatTimeout = timing.heartbeatInterval;
     EXPECT_EQ(Membership::create(InstanceId("a#1"), ZoneId("z"), timing).error().code,
               ErrorCode::InvalidArgument);
     EXPECT_EQ(Membership::create(InstanceId(), ZoneId("z"), {}).error().code,
