--- a/src/ownership/authority.cpp
+++ b/src/ownership/authority.cpp
@@ -9,18 +9,18 @@
 Authority::Authority(InstanceId self, Duration length) : m_self(std::move(self)), m_length(length)
 { }
 
-void Authority::confirmed(TimePoint sentAt)
+void Authority::recordConfirmation(TimePoint sentAt)
 {
     m_confirmedAt = std::max(m_confirmedAt, sentAt);
 }
 
-void Authority::promised(const InstanceId &candidate, TimePoint sentAt)
+void Authority::recordPromise(const InstanceId &candidate, TimePoint sentAt)
 {
     TimePoint &last = m_promises[candidate];
     last = std::max(last, sentAt);
 }
 
-void Authority::keep(TimePoint until)
+void Authority::extendUntil(TimePoint until)
 {
     m_keptUntil = std::max(m_keptUntil, until);
 }
@@ -50,7 +50,7 @@
             times.push_back(lastPromise(candidate).value_or(TimePoint()));
     }
     const std::size_t others = promisesNeeded(candidates.size()) - 1;
-    // A sole candidate agrees with itself: nobody else may take over while it runs.
+    // A sole candidate needs no promise: no other instance may take over while it runs.
     if (others == 0)
         return now + m_length;
     if (others > times.size())
--- a/src/ownership/candidate.cpp
+++ b/src/ownership/candidate.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Candidates that are alive try one after the other.
+/// Live candidates try to take over one after the other, in the order of the record.
 constexpr Duration delayPerRank = std::chrono::milliseconds(60);
 
 bool isCandidate(const CellRecord &record, const InstanceId &id)
@@ -30,7 +30,7 @@
     return answer;
 }
 
-void Candidate::observed(const CellRecord &record, TimePoint now)
+void Candidate::onObserved(const CellRecord &record, TimePoint now)
 {
     m_recordChangedAt = now;
     if (record.term <= m_knownTerm)
@@ -42,7 +42,7 @@
 bool Candidate::shouldTakeOver(const Context &context, const CellRecord &record,
                                TimePoint now) const
 {
-    // A process that has just started may have missed anything; it first listens for a while.
+    // A process that has just started may have missed messages; it first listens for a while.
     if (now - m_knownSince < context.timing.authorityLength)
         return false;
     const bool isListed = isCandidate(record, context.self.id);
@@ -50,8 +50,9 @@
         return false;
     if (now - m_heardAt < context.timing.suspectAfter + rankDelay(context, record))
         return false;
-    // A placer that still writes to the store is alive. It is replaced only if it is cut off from
-    // most candidates, which hear each other; else two instances would take turns.
+    // A placer that still writes to the store is alive. It is replaced only if it is partitioned
+    // from a majority of the candidates that can reach each other; otherwise two instances would
+    // keep taking the cell from each other.
     if (now - m_recordChangedAt <= context.timing.authorityLength)
         return isPlacerIsolated(context, record);
     return hearsHalf(context, record.cell);
--- a/src/ownership/candidate.hpp
+++ b/src/ownership/candidate.hpp
@@ -1,35 +1,35 @@
 /// \file
-/// \brief An instance as one of those that may take a cell over.
+/// \brief The role of an instance that may take over a cell.
 #pragma once
 
 #include "placement/context.hpp"
 
 namespace yuccaspan::impl {
 
-/// \brief Keeps the promises of one instance for one cell, and suspects a silent placer.
+/// \brief Keeps the promises of one instance for one cell and detects an unresponsive placer.
 class Candidate
 {
 public:
     /// \param now When the cell became known.
     explicit Candidate(TimePoint now) : m_knownSince(now), m_heardAt(now) { }
 
-    /// \brief A placer asks for a promise.
+    /// \brief Answers a placer's request for a promise.
     /// \param request The request.
-    /// \param isTakingOver Whether this instance's own write of a term is not resolved.
+    /// \param isTakingOver Whether the result of this instance's own takeover write is pending.
     /// \param now The current time.
     [[nodiscard]] PromiseAnswer answer(const PromiseRequest &request, bool isTakingOver,
                                        TimePoint now);
-    /// \brief A record was seen in the store.
-    void observed(const CellRecord &record, TimePoint now);
-    /// \brief This process was stopped: its own pause is no silence of the placer.
-    void clockJumped(TimePoint now) { m_heardAt = now; }
-    /// \brief Whether this instance should take the cell over now.
+    /// \brief Handles a record that was read from the store.
+    void onObserved(const CellRecord &record, TimePoint now);
+    /// \brief Restarts the wait for the placer: a pause of this process must not count against it.
+    void onClockJump(TimePoint now) { m_heardAt = now; }
+    /// \brief Whether this instance should take over the cell now.
     /// \param context Members.
-    /// \param record The record as known here.
+    /// \param record The record as this instance knows it.
     /// \param now The current time.
     [[nodiscard]] bool shouldTakeOver(const Context &context, const CellRecord &record,
                                       TimePoint now) const;
-    /// \brief The highest term known.
+    /// \brief The highest known term.
     [[nodiscard]] Term knownTerm() const noexcept { return m_knownTerm; }
 
 private:
@@ -42,7 +42,8 @@
     TimePoint m_recordChangedAt;
 };
 
-/// \brief Whether an instance that is no candidate may take the cell over: all candidates are gone.
+/// \brief Whether an instance that is not a candidate may take over the cell, which is the case
+/// once all candidates are gone.
 [[nodiscard]] bool mayTakeOverFromOutside(const Context &context, const CellRecord &record);
 
 } // namespace yuccaspan::impl
--- a/src/ownership/grant_book.cpp
+++ b/src/ownership/grant_book.cpp
@@ -6,12 +6,13 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// Interval of probes to targets that hold nothing.
+/// Interval between probes of targets that hold no slice.
 constexpr Duration idleProbeInterval = std::chrono::seconds(1);
-/// A grant sent together with a revoke could overtake it, and the target would refuse the revoke.
-constexpr Duration revokeHeadStart = std::chrono::milliseconds(50);
-/// Orders whose end the daemon never reported are given up after this many time-outs.
-constexpr int overdueTimeouts = 3;
+/// Delay of a grant after a revoke: sent together, the grant could overtake the revoke, which the
+/// target would then refuse.
+constexpr Duration grantDelayAfterRevoke = std::chrono::milliseconds(50);
+/// An order whose result the daemon never reported is dropped after this many timeouts.
+constexpr int maxOverdueTimeouts = 3;
 } // namespace
 
 GrantBook::GrantBook(CellId cell, Term term) : m_cell(std::move(cell)), m_term(term)
@@ -74,7 +75,7 @@
 bool GrantBook::isRevoking(const TargetId &target, TimePoint now) const
 {
     return std::ranges::any_of(m_revokes, [&](const auto &item) {
-        return item.second.target == target && now - item.second.sentAt < revokeHeadStart;
+        return item.second.target == target && now - item.second.sentAt < grantDelayAfterRevoke;
     });
 }
 
@@ -87,12 +88,12 @@
 
 void GrantBook::expireOrders(const PlacementTiming &timing, TimePoint now)
 {
-    const Duration limit = timing.orderTimeout * overdueTimeouts;
+    const Duration limit = timing.orderTimeout * maxOverdueTimeouts;
     for (auto &[target, entry] : m_targets) {
         if (entry.order && now - entry.order->sentAt > limit) {
             entry.order.reset();
             AnswerEffect ignored;
-            noteSilence(entry, ignored, timing, now);
+            recordNoAnswer(entry, ignored, timing, now);
         }
     }
     std::erase_if(m_revokes, [&](const auto &item) { return now - item.second.sentAt > limit; });
@@ -145,7 +146,7 @@
     context.actions.push_back(SendOrderAction{orderId, target, std::move(order)});
 }
 
-AnswerEffect GrantBook::answered(const TargetId &target, const TargetAnswer &answer,
+AnswerEffect GrantBook::onAnswer(const TargetId &target, const TargetAnswer &answer,
                                  const PlacementTiming &timing, TimePoint now)
 {
     AnswerEffect effect;
@@ -158,9 +159,9 @@
         if (answer.verdict == TargetVerdict::Accepted && answer.startId == revoke->second.startId)
             effect.revoked = revoke->second;
         m_revokes.erase(revoke);
-        effect.isChange = true;
+        effect.hasChanges = true;
         if (answer.verdict != TargetVerdict::NoAnswer)
-            noteAnswer(entry, answer, effect, now);
+            recordAnswer(entry, answer, effect, now);
         return effect;
     }
     if (!entry.order || entry.order->orderId != answer.orderId)
@@ -168,15 +169,15 @@
     const OrderInFlight order = *entry.order;
     entry.order.reset();
     if (answer.verdict == TargetVerdict::NoAnswer) {
-        noteSilence(entry, effect, timing, now);
-        effect.isChange = true;
+        recordNoAnswer(entry, effect, timing, now);
+        effect.hasChanges = true;
         entry.nextAt = std::min(entry.nextAt, now + timing.tickInterval);
         return effect;
     }
-    noteAnswer(entry, answer, effect, now);
+    recordAnswer(entry, answer, effect, now);
     const bool isRenewal = answer.verdict == TargetVerdict::Accepted && order.setVersion != 0
         && entry.ackedSetVersion == order.setVersion;
-    effect.isChange = !isRenewal || effect.isBack;
+    effect.hasChanges = !isRenewal || effect.hasRecovered;
     if (order.setVersion == 0)
         entry.nextAt = entry.set.empty() ? entry.nextAt : now;
     if (answer.verdict == TargetVerdict::Accepted && order.setVersion != 0
@@ -189,11 +190,11 @@
     return effect;
 }
 
-void GrantBook::noteAnswer(TargetEntry &entry, const TargetAnswer &answer, AnswerEffect &effect,
-                           TimePoint now)
+void GrantBook::recordAnswer(TargetEntry &entry, const TargetAnswer &answer, AnswerEffect &effect,
+                             TimePoint now)
 {
     effect.knownTerm = answer.knownTerm;
-    effect.isNewStart = !entry.startId.empty() && entry.startId != answer.startId;
+    effect.hasRestarted = !entry.startId.empty() && entry.startId != answer.startId;
     if (entry.startId != answer.startId)
         entry.ackedSetVersion = 0;
     entry.startId = answer.startId;
@@ -203,16 +204,16 @@
     entry.lastAnswered = true;
     const TargetPhase before = entry.life.phase();
     entry.life.handle(TargetSignal::Answered);
-    effect.isBack = before == TargetPhase::Unknown || before == TargetPhase::Lost;
+    effect.hasRecovered = before == TargetPhase::Unknown || before == TargetPhase::Lost;
 }
 
-void GrantBook::noteSilence(TargetEntry &entry, AnswerEffect &effect, const PlacementTiming &timing,
-                            TimePoint now)
+void GrantBook::recordNoAnswer(TargetEntry &entry, AnswerEffect &effect,
+                               const PlacementTiming &timing, TimePoint now)
 {
     entry.lastAnswered = false;
     const TargetPhase before = entry.life.phase();
-    const bool isShortSilence = now - entry.clockAt < timing.targetLostAfter;
-    if (before == TargetPhase::Silent && isShortSilence)
+    const bool isBelowLostLimit = now - entry.clockAt < timing.targetLostAfter;
+    if (before == TargetPhase::Silent && isBelowLostLimit)
         return;
     const TargetPhase after = entry.life.handle(TargetSignal::Unanswered);
     effect.isLost = before != TargetPhase::Lost && after == TargetPhase::Lost;
--- a/src/ownership/grant_book.hpp
+++ b/src/ownership/grant_book.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief What the placer of one cell knows of the targets, and the orders it sends them.
+/// \brief Target states known to the placer of one cell, and the orders that it sends.
 #pragma once
 
 #include "ownership/lifecycles.hpp"
@@ -12,55 +12,55 @@
 
 namespace yuccaspan::impl {
 
-/// \brief An order that waits for its answer.
+/// \brief A grant or probe that awaits its answer.
 struct OrderInFlight
 {
-    std::uint64_t orderId = 0; ///< Its id.
+    std::uint64_t orderId = 0; ///< Id of the order.
     TimePoint sentAt; ///< When it was sent.
-    std::uint64_t setVersion = 0; ///< With a grant: version of the set; 0 for a probe.
-    std::string startId; ///< Start id that it names.
+    std::uint64_t setVersion = 0; ///< Version of the granted set; 0 for a probe.
+    std::string startId; ///< Start id that the order was addressed to.
 };
 
-/// \brief A revoke that waits for its answer.
+/// \brief A revoke that awaits its answer.
 struct RevokeInFlight
 {
     TargetId target; ///< The receiver.
-    std::string startId; ///< Start id that it names.
+    std::string startId; ///< Start id that the revoke was addressed to.
     KeyRange range; ///< The slice.
-    FencingToken token; ///< Its token.
+    FencingToken token; ///< Fencing token of the slice.
     TimePoint sentAt; ///< When it was sent.
 };
 
-/// \brief What is known of one target.
+/// \brief What the placer knows about one target.
 struct TargetEntry
 {
-    TargetLifecycle life; ///< Whether it answers.
-    std::string startId; ///< Empty until it answered.
-    Duration clock{}; ///< A reading of its clock.
-    TimePoint clockAt; ///< An instant no earlier than the reading.
-    TargetState state = TargetState::Warm; ///< As it describes itself.
-    std::vector<GrantedSlice> set; ///< Slices it is to hold.
-    std::uint64_t setVersion = 0; ///< Grows with each change of the set.
-    std::uint64_t ackedSetVersion = 0; ///< Version that it confirmed with its present start id.
-    TimePoint ackedUntil; ///< An instant up to which the confirmed grant lasts at the least.
-    std::optional<OrderInFlight> order; ///< Grant or probe under way.
-    TimePoint orderUntil; ///< Expiry of the grant under way.
+    TargetLifecycle life; ///< Whether the target answers.
+    std::string startId; ///< Empty until the first answer.
+    Duration clock{}; ///< The target's clock as last reported.
+    TimePoint clockAt; ///< Local time at or after the target read its clock.
+    TargetState state = TargetState::Warm; ///< State that the target reported.
+    std::vector<GrantedSlice> set; ///< Slices that the target should hold.
+    std::uint64_t setVersion = 0; ///< Incremented on each change of the set.
+    std::uint64_t ackedSetVersion = 0; ///< Set version confirmed under the current start id.
+    TimePoint ackedUntil; ///< Lower bound of the confirmed grant's expiry.
+    std::optional<OrderInFlight> order; ///< Grant or probe in flight.
+    TimePoint orderUntil; ///< Expiry of the grant in flight.
     bool lastAnswered = false; ///< Whether the last order was answered.
     TimePoint nextAt; ///< When the next order is due.
 };
 
-/// \brief What an answer showed.
+/// \brief What changed through an answer.
 struct AnswerEffect
 {
-    Term knownTerm; ///< Highest term the target knows.
-    bool isNewStart = false; ///< The target was restarted.
-    bool isLost = false; ///< The target has just been given up.
-    bool isBack = false; ///< The target answers again, or for the first time.
-    bool isChange = false; ///< More than the renewal of an unchanged set came of it.
-    std::optional<RevokeInFlight> revoked; ///< A revoke that was accepted.
+    Term knownTerm; ///< Highest term known to the target.
+    bool hasRestarted = false; ///< The target has restarted.
+    bool isLost = false; ///< The target has just been declared lost.
+    bool hasRecovered = false; ///< The target answers again or for the first time.
+    bool hasChanges = false; ///< Anything but the renewal of an unchanged set.
+    std::optional<RevokeInFlight> revoked; ///< The revoke that the target accepted.
 };
 
-/// \brief Targets of one cell, and the orders of one term to them.
+/// \brief Tracks the targets of one cell and sends them the orders of one term.
 class GrantBook
 {
 public:
@@ -70,12 +70,13 @@
 
     /// \name Sets
     /// @{
-    /// \brief Sets which slices each target is to hold, none if it is not named; a change is
-    /// ordered at the next step.
+    /// \brief Sets the slices that each target should hold; targets that are not named hold none.
+    /// Changes are sent at the next step.
     void assignAll(std::map<TargetId, std::vector<GrantedSlice>> sets);
-    /// \brief Whether the target confirmed its present set, and holds it now.
+    /// \brief Whether the target confirmed its current set and the grant has not expired.
     [[nodiscard]] bool isConfirmed(const TargetId &target, TimePoint now) const;
-    /// \brief Whether the target confirmed a set with the slice, and holds it now.
+    /// \brief Whether the target confirmed a set that contains the slice and the grant has not
+    /// expired.
     [[nodiscard]] bool isConfirmed(const TargetId &target, const KeyRange &range,
                                    TimePoint now) const;
     /// @}
@@ -84,7 +85,7 @@
     /// @{
     /// \brief Sends the orders that are due.
     /// \param context Receives the actions.
-    /// \param authorityUntil No grant lasts longer.
+    /// \param authorityUntil Latest expiry of any grant.
     /// \param now The current time.
     /// \returns Targets that were sent a grant, with its expiry and start id.
     struct Extension
@@ -95,22 +96,22 @@
     };
     [[nodiscard]] std::vector<Extension> step(Context &context, TimePoint authorityUntil,
                                               TimePoint now);
-    /// \brief Asks a target to give a slice back, unless that is under way.
+    /// \brief Sends a revoke for a slice, unless one is in flight.
     void revoke(Context &context, const TargetId &target, const GrantedSlice &slice, TimePoint now);
-    /// \brief A target answered, or the wait for its answer ended.
-    [[nodiscard]] AnswerEffect answered(const TargetId &target, const TargetAnswer &answer,
+    /// \brief Handles a target's answer or the timeout of an order.
+    [[nodiscard]] AnswerEffect onAnswer(const TargetId &target, const TargetAnswer &answer,
                                         const PlacementTiming &timing, TimePoint now);
     /// @}
 
     /// \name Targets
     /// @{
-    /// \brief The target, or null if it is not known here.
+    /// \brief The target, or null if it is unknown.
     [[nodiscard]] const TargetEntry *find(const TargetId &target) const;
     /// \brief State of a target's lifecycle.
     [[nodiscard]] TargetPhase phase(const TargetId &target) const;
-    /// \brief Makes sure that a target is asked how it is.
+    /// \brief Starts probing a target.
     void watch(const TargetId &target);
-    /// \brief Forgets targets that the predicate does not keep and that hold nothing.
+    /// \brief Removes targets that hold no slice and that the predicate does not keep.
     template <typename Predicate>
     void keepOnly(Predicate keep)
     {
@@ -125,10 +126,10 @@
     [[nodiscard]] bool isRevoking(const TargetId &target, TimePoint now) const;
     [[nodiscard]] bool isDue(const TargetEntry &entry, TimePoint now) const;
     void expireOrders(const PlacementTiming &timing, TimePoint now);
-    void noteAnswer(TargetEntry &entry, const TargetAnswer &answer, AnswerEffect &effect,
-                    TimePoint now);
-    void noteSilence(TargetEntry &entry, AnswerEffect &effect, const PlacementTiming &timing,
-                     TimePoint now);
+    void recordAnswer(TargetEntry &entry, const TargetAnswer &answer, AnswerEffect &effect,
+                      TimePoint now);
+    void recordNoAnswer(TargetEntry &entry, AnswerEffect &effect, const PlacementTiming &timing,
+                        TimePoint now);
     [[nodiscard]] std::optional<Extension> grant(Context &context, const TargetId &target,
                                                  TargetEntry &entry, TimePoint authorityUntil,
                                                  TimePoint now);
--- a/src/ownership/lapse_wait.cpp
+++ b/src/ownership/lapse_wait.cpp
@@ -22,7 +22,7 @@
       m_length(length)
 { }
 
-void LapseWait::refused(const InstanceId &candidate, TimePoint at)
+void LapseWait::recordRefusal(const InstanceId &candidate, TimePoint at)
 {
     m_refusals.try_emplace(candidate, at);
 }
--- a/src/ownership/lapse_wait.hpp
+++ b/src/ownership/lapse_wait.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief When everything that earlier terms may have granted has lapsed.
+/// \brief Determines when all grants of earlier terms have expired.
 #pragma once
 
 #include "yuccaspan/clock.hpp"
@@ -14,37 +14,37 @@
 
 /// \brief The wait of a new placer for the authority of earlier placers to end.
 ///
-/// An earlier placer extends its authority by a committed write, which the new term excludes, or by
-/// promises. Once enough of the old candidates know the new term, it can gather them no more; what
-/// it had then ends within one authority length.
+/// An earlier placer extends its authority by a committed write, which the new term rules out, or
+/// by promises. Once enough of the old candidates know the new term, it can no longer obtain the
+/// promises that it needs; its remaining authority ends within one authority length.
 class LapseWait
 {
 public:
-    /// \brief Nothing to wait for: the cell had no earlier term.
+    /// \brief A wait that is already over, for a cell without an earlier term.
     [[nodiscard]] static LapseWait none();
-    /// \brief Waits for the terms before the one committed now.
-    /// \param self The new placer, which promises nobody.
+    /// \brief Waits for the terms before the newly committed one.
+    /// \param self The new placer, which promises nothing to an earlier one.
     /// \param oldCandidates Candidates of the record that was replaced.
-    /// \param confirmedAt When the new term was known to be committed.
-    /// \param length Longest authority on the slowest clock.
+    /// \param confirmedAt When the commit of the new term became known.
+    /// \param length Longest authority, measured on the slowest clock.
     LapseWait(InstanceId self, std::vector<InstanceId> oldCandidates, TimePoint confirmedAt,
               Duration length);
 
-    /// \brief A candidate promised the new term, and so promises no earlier one any more.
-    void refused(const InstanceId &candidate, TimePoint at);
-    /// \brief The instant at which earlier terms have lapsed; nothing while too few are known.
+    /// \brief Records that a candidate promised the new term, so that it refuses earlier ones.
+    void recordRefusal(const InstanceId &candidate, TimePoint at);
+    /// \brief When earlier terms expire; empty while too few refusals are known.
     /// \param isGone Whether an instance no longer runs.
     [[nodiscard]] std::optional<TimePoint>
     end(const std::function<bool(const InstanceId &)> &isGone) const;
-    /// \brief Whether the wait is over. Stays true once it was.
+    /// \brief Whether the wait is over. Remains true from then on.
     [[nodiscard]] bool isOver(const std::function<bool(const InstanceId &)> &isGone, TimePoint now);
-    /// \brief The candidates whose refusal counts.
+    /// \brief Candidates whose refusals count.
     [[nodiscard]] const std::vector<InstanceId> &candidates() const noexcept
     {
         return m_candidates;
     }
-    /// \brief Whether isOver() was true.
-    [[nodiscard]] bool wasOver() const noexcept { return m_over; }
+    /// \brief Whether isOver() has returned true before.
+    [[nodiscard]] bool hasEnded() const noexcept { return m_over; }
 
 private:
     LapseWait() = default;
--- a/src/ownership/lifecycles.hpp
+++ b/src/ownership/lifecycles.hpp
@@ -1,8 +1,8 @@
 /// \file
-/// \brief Lifecycles of a target, of a move and of a placer, as a cell's placer follows them.
+/// \brief Lifecycles of targets, moves and placers, as tracked by the placer of a cell.
 ///
-/// Each is a state machine; the machines are in the .cpp files. An event that a state does not
-/// expect leaves it as it is.
+/// Each is a state machine that is defined in its own .cpp file. An event without a transition
+/// in the current state is ignored.
 #pragma once
 
 #include "yuccaspan/enum_names.hpp"
@@ -11,12 +11,12 @@
 
 namespace yuccaspan::impl {
 
-/// \brief State of a target as its placer sees it.
+/// \brief State of a target as seen by the placer.
 enum class TargetPhase {
     Unknown, ///< It has not answered yet.
     Serving, ///< It answered the last order.
     Silent, ///< It did not answer the last order; its grant is not extended.
-    Lost, ///< It did not answer again; its slices are given to others.
+    Lost, ///< It still did not answer; its slices are moved to other targets.
 };
 
 /// \brief Events of a target.
@@ -28,34 +28,34 @@
 /// \brief State of a move of one slice.
 enum class MovePhase {
     Planned, ///< The intent is not yet committed.
-    Draining, ///< Entries hold new requests and finish those in flight.
-    Revoking, ///< The owner's grant is taken back, or lapses.
-    Granting, ///< The next owner gets its grant.
+    Draining, ///< Entry instances hold new requests and finish those in flight.
+    Revoking, ///< The owner's grant is being revoked or expires.
+    Granting, ///< The next owner is being granted the slice.
     Settling, ///< The settled record is not yet committed.
-    Settled, ///< The next owner is the owner.
+    Settled, ///< The move is complete.
 };
 
 /// \brief Events of a move.
 enum class MoveSignal {
     IntentCommitted, ///< The record shows the intent.
-    Drained, ///< No entry has a request in flight, or the wait for that ended.
+    Drained, ///< No entry instance has a request in flight, or the wait timed out.
     Released, ///< No other target can hold the slice.
     Granted, ///< The next owner holds the slice.
-    Abandoned, ///< The next owner is lost before it confirmed.
+    Abandoned, ///< The next owner was lost before it confirmed.
     SettleCommitted, ///< The record shows the next owner as owner.
 };
 
 /// \brief State of an instance as the placer of a cell.
 enum class PlacerPhase {
-    Waiting, ///< It has the term; earlier terms may not have lapsed.
-    Active, ///< Earlier terms have lapsed.
-    HandingOver, ///< It gives the cell to another instance and starts no moves.
+    Waiting, ///< It has the term; earlier terms may not have expired yet.
+    Active, ///< Earlier terms have expired.
+    HandingOver, ///< It hands the cell to another instance and starts no moves.
     Retired, ///< Another instance has, or may have, the cell.
 };
 
 /// \brief Events of a placer.
 enum class PlacerSignal {
-    EarlierTermsLapsed, ///< Nothing that an earlier term granted is in force.
+    EarlierTermsLapsed, ///< All grants of earlier terms have expired.
     LeaveRequested, ///< This instance is stopping.
     TermLost, ///< A higher term is known.
 };
@@ -69,10 +69,10 @@
     TargetLifecycle &operator=(TargetLifecycle &&) noexcept;
     ~TargetLifecycle();
 
-    /// \brief Takes an event.
+    /// \brief Processes an event.
     /// \returns The new state.
     TargetPhase handle(TargetSignal signal);
-    /// \brief The present state.
+    /// \brief The current state.
     [[nodiscard]] TargetPhase phase() const noexcept;
 
 private:
--- a/src/ownership/move_lifecycle.cpp
+++ b/src/ownership/move_lifecycle.cpp
@@ -42,22 +42,22 @@
 {
     switch (signal) {
     case MoveSignal::IntentCommitted:
-        m_machine->take(On<MoveSignal::IntentCommitted>());
+        m_machine->process(On<MoveSignal::IntentCommitted>());
         break;
     case MoveSignal::Drained:
-        m_machine->take(On<MoveSignal::Drained>());
+        m_machine->process(On<MoveSignal::Drained>());
         break;
     case MoveSignal::Released:
-        m_machine->take(On<MoveSignal::Released>());
+        m_machine->process(On<MoveSignal::Released>());
         break;
     case MoveSignal::Granted:
-        m_machine->take(On<MoveSignal::Granted>());
+        m_machine->process(On<MoveSignal::Granted>());
         break;
     case MoveSignal::Abandoned:
-        m_machine->take(On<MoveSignal::Abandoned>());
+        m_machine->process(On<MoveSignal::Abandoned>());
         break;
     case MoveSignal::SettleCommitted:
-        m_machine->take(On<MoveSignal::SettleCommitted>());
+        m_machine->process(On<MoveSignal::SettleCommitted>());
         break;
     }
     return phase();
--- a/src/ownership/msm_phase.hpp
+++ b/src/ownership/msm_phase.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief State machines whose states and events are enumerators, on Boost.MSM.
+/// \brief State machines on Boost.MSM whose states and events are enumerators.
 /// \warning Include only from the .cpp file of one machine: MSM is slow to compile.
 #pragma once
 
@@ -18,7 +18,7 @@
 template <typename Source, typename Event, typename Target>
 using Row = boost::msm::front::Row<Source, Event, Target>;
 
-/// \brief The state that an enumerator names.
+/// \brief State type for one enumerator.
 template <typename Phase, Phase value>
 struct PhaseState : boost::msm::front::state<>
 {
@@ -29,12 +29,12 @@
     }
 };
 
-/// \brief The event that an enumerator names.
+/// \brief Event type for one enumerator.
 template <typename Signal, Signal value>
 struct SignalEvent
 { };
 
-/// \brief A machine that remembers the enumerator of its state.
+/// \brief State machine definition that stores the enumerator of the current state.
 template <typename Table, typename Phase>
 struct PhaseFrontEnd : boost::msm::front::state_machine_def<Table>
 {
@@ -51,13 +51,13 @@
 {
 public:
     PhaseMachine() { m_backEnd.start(); }
-    /// \brief Takes an event.
+    /// \brief Processes an event.
     template <typename Event>
-    void take(const Event &event)
+    void process(const Event &event)
     {
         m_backEnd.process_event(event);
     }
-    /// \brief The enumerator of the present state.
+    /// \brief The enumerator of the current state.
     [[nodiscard]] auto phase() const noexcept { return m_backEnd.current; }
 
 private:
--- a/src/ownership/placer_lifecycle.cpp
+++ b/src/ownership/placer_lifecycle.cpp
@@ -46,13 +46,13 @@
 {
     switch (signal) {
     case PlacerSignal::EarlierTermsLapsed:
-        m_machine->take(On<PlacerSignal::EarlierTermsLapsed>());
+        m_machine->process(On<PlacerSignal::EarlierTermsLapsed>());
         break;
     case PlacerSignal::LeaveRequested:
-        m_machine->take(On<PlacerSignal::LeaveRequested>());
+        m_machine->process(On<PlacerSignal::LeaveRequested>());
         break;
     case PlacerSignal::TermLost:
-        m_machine->take(On<PlacerSignal::TermLost>());
+        m_machine->process(On<PlacerSignal::TermLost>());
         break;
     }
     return phase();
--- a/src/ownership/record_writer.hpp
+++ b/src/ownership/record_writer.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief One conditional update of a cell record, repeated until its result is known.
+/// \brief Conditional update of a cell record, retried until its result is known.
 #pragma once
 
 #include "placement/context.hpp"
@@ -13,26 +13,26 @@
 /// \brief How an update ended.
 struct WriteOutcome
 {
-    bool committed = false; ///< Whether the record is in force; otherwise another one is.
+    bool committed = false; ///< Whether this record, not another one, is in force.
     ObjectVersion version; ///< Version in the store; 0 if the update was never done.
-    TimePoint sentAt; ///< With committed: an instant before which it did not take effect.
+    TimePoint sentAt; ///< If committed: the write took effect no earlier than this.
 };
 
 /// \brief Writes one record at a time.
 ///
-/// An update whose answer was lost is repeated with the same condition: if it took effect, the
-/// repeat conflicts, and a read of at least that version tells whose record is in force.
+/// An update whose answer was lost is retried with the same condition. If the first attempt took
+/// effect, the retry conflicts, and a read of at least that version shows whose record is in force.
 class RecordWriter
 {
 public:
-    /// \brief Whether an update is not resolved.
+    /// \brief Whether the result of an update is pending.
     [[nodiscard]] bool isBusy() const noexcept { return m_state != State::Idle; }
     /// \brief The record being written, or null.
     [[nodiscard]] const CellRecord *pending() const noexcept
     {
         return isBusy() ? &m_record : nullptr;
     }
-    /// \brief Whether the write id belongs to the present update.
+    /// \brief Whether the write id belongs to the current update.
     [[nodiscard]] bool owns(std::uint64_t writeId) const noexcept
     {
         return isBusy() && writeId == m_writeId;
@@ -43,24 +43,24 @@
     /// \param text Its encoded form.
     /// \param expected Version of the record it replaces; 0 to create it.
     /// \param now The current time.
-    /// \warning Call only if mayStart().
+    /// \warning Call only if canStart().
     void start(Context &context, CellRecord record, std::string text, ObjectVersion expected,
                TimePoint now);
-    /// \brief A write ended.
+    /// \brief Handles the result of a write.
     /// \returns The outcome, once it is known.
     [[nodiscard]] std::optional<WriteOutcome>
-    written(Context &context, const StoreWrittenEvent &event, TimePoint now);
-    /// \brief The record was seen in the store.
+    onWritten(Context &context, const StoreWrittenEvent &event, TimePoint now);
+    /// \brief Handles a record that was read from the store.
     /// \returns The outcome, once it is known.
-    [[nodiscard]] std::optional<WriteOutcome> observed(const CellRecord &record,
-                                                       ObjectVersion version);
-    /// \brief Whether an update may be started: none is under way, and the store did not just
-    /// refuse one.
-    [[nodiscard]] bool mayStart(TimePoint now) const noexcept
+    [[nodiscard]] std::optional<WriteOutcome> onObserved(const CellRecord &record,
+                                                         ObjectVersion version);
+    /// \brief Whether an update may be started: none is in progress, and the backoff after a
+    /// rejected one has passed.
+    [[nodiscard]] bool canStart(TimePoint now) const noexcept
     {
         return !isBusy() && now >= m_retryAt;
     }
-    /// \brief Repeats what is overdue.
+    /// \brief Retries writes and reads that are due.
     void tick(Context &context, TimePoint now);
 
 private:
@@ -73,7 +73,7 @@
 
     void send(Context &context, TimePoint now);
     void read(Context &context, TimePoint now);
-    [[nodiscard]] Duration nextDelay(Context &context);
+    [[nodiscard]] Duration nextRetryDelay(Context &context);
 
     State m_state = State::Idle;
     CellRecord m_record;
@@ -83,7 +83,7 @@
     TimePoint m_firstSentAt;
     TimePoint m_lastSentAt;
     TimePoint m_retryAt;
-    Duration m_delay{};
+    Duration m_retryDelay{};
     bool m_mayTakeEffect = false;
 };
 
--- a/src/ownership/route_publisher.cpp
+++ b/src/ownership/route_publisher.cpp
@@ -6,8 +6,8 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// An update with new routes is repeated after this time without acknowledgement.
-constexpr Duration repeatAfter = std::chrono::milliseconds(60);
+/// An update with new routes is resent if it is not acknowledged within this time.
+constexpr Duration resendInterval = std::chrono::milliseconds(60);
 } // namespace
 
 RoutePublisher::RoutePublisher(CellId cell, KeyRange range, Term term)
@@ -41,7 +41,7 @@
         found->second.shares = std::move(shares);
 }
 
-bool RoutePublisher::acknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now)
+bool RoutePublisher::onAcknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now)
 {
     const auto found = m_entries.find(entry);
     if (found == m_entries.end() || ack.term != m_term || ack.ackSequence <= found->second.echo)
@@ -81,7 +81,7 @@
         return true;
     const Duration since = now - entry.sentAt;
     if (entry.acked < m_sequence || entry.leaseBound == TimePoint())
-        return since >= repeatAfter;
+        return since >= resendInterval;
     return since >= context.timing.renewInterval;
 }
 
--- a/src/ownership/route_publisher.hpp
+++ b/src/ownership/route_publisher.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Pushes the routes of one cell to all entry instances and renews their view leases.
+/// \brief Sends the routes of one cell to all entry instances and renews their view leases.
 #pragma once
 
 #include "placement/context.hpp"
@@ -9,7 +9,7 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Routes of one cell in one term, and what each entry instance has of them.
+/// \brief Routes of one cell in one term, and what each entry instance has acknowledged.
 class RoutePublisher
 {
 public:
@@ -18,27 +18,29 @@
     /// \param term The placer's term.
     RoutePublisher(CellId cell, KeyRange range, Term term);
 
-    /// \brief Replaces the routes; the sequence grows if any differs.
+    /// \brief Replaces the routes; increments the sequence if any route changed.
     void setRoutes(std::vector<Route> routes);
-    /// \brief Sequence of the present routes.
+    /// \brief Sequence of the current routes.
     [[nodiscard]] std::uint64_t sequence() const noexcept { return m_sequence; }
-    /// \brief Sets the shares that are sent to an instance.
+    /// \brief Sets the capacity shares that are sent to an instance.
     void setShares(const InstanceId &entry, std::vector<CapacityShare> shares);
-    /// \brief An entry instance confirmed an update.
-    /// \returns Whether the instance has newer routes in force, or other slices idle, than before.
-    bool acknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now);
+    /// \brief Handles an acknowledgement of an entry instance.
+    /// \returns Whether the routes in force or the idle slices of the instance changed.
+    bool onAcknowledged(const InstanceId &entry, const RouteAck &ack, TimePoint now);
     /// \brief Sends the updates that are due.
-    /// \param context Receives the actions; its live members are the receivers.
-    /// \param authorityUntil No view lease lasts longer.
+    /// \param context Receives the actions; updates go to its live members.
+    /// \param authorityUntil Latest expiry of any view lease.
     /// \param now The current time.
     void step(Context &context, TimePoint authorityUntil, TimePoint now);
-    /// \brief Whether no entry instance can send a request for a slice any more.
+    /// \brief Whether no entry instance can send requests for a slice any longer.
     /// \param context Members.
     /// \param range The slice.
-    /// \param since Sequence since which the slice is held.
+    /// \param since First sequence in which the slice is held.
     /// \param now The current time.
-    /// \returns True once each instance confirmed it, or lost its view lease. With
-    /// `waitForLeases` false, instances that are not alive are passed over.
+    /// \param waitForLeases If false, instances that are not alive are ignored; if true, the view
+    /// lease of an instance that has not confirmed must have expired.
+    /// \returns True once each relevant instance has reported the slice idle or lost its view
+    /// lease.
     [[nodiscard]] bool isIdleEverywhere(const Context &context, const KeyRange &range,
                                         std::uint64_t since, bool waitForLeases,
                                         TimePoint now) const;
--- a/src/ownership/target_lifecycle.cpp
+++ b/src/ownership/target_lifecycle.cpp
@@ -42,10 +42,10 @@
 {
     switch (signal) {
     case TargetSignal::Answered:
-        m_machine->take(On<TargetSignal::Answered>());
+        m_machine->process(On<TargetSignal::Answered>());
         break;
     case TargetSignal::Unanswered:
-        m_machine->take(On<TargetSignal::Unanswered>());
+        m_machine->process(On<TargetSignal::Unanswered>());
         break;
     }
     return phase();
--- a/src/placement/candidate_choice.hpp
+++ b/src/placement/candidate_choice.hpp
@@ -13,26 +13,26 @@
 
 /// \brief Whether an instance may be a candidate of a cell.
 ///
-/// With CutOffPolicy::Hold only instances of the home zone may, unless the platform shows none
-/// there or operators vouch that the zone has stopped.
+/// With CutOffPolicy::Hold only instances of the home zone may, unless the platform lists none
+/// there or operators have declared the zone stopped.
 [[nodiscard]] bool mayBeCandidate(const Context &context, const CellId &cell, const Member &member);
 
 /// \brief Whether this instance hears more than half of the instances that the platform lists.
 /// With CutOffPolicy::Hold only the cell's home zone counts.
 [[nodiscard]] bool hearsMajority(const Context &context, const CellId &cell);
 
-/// \brief As hearsMajority(), but half of them is enough.
+/// \brief Like hearsMajority(), but exactly half is sufficient.
 [[nodiscard]] bool hearsHalf(const Context &context, const CellId &cell);
 
-/// \brief Replaces, drops or adds one candidate.
+/// \brief Replaces, removes or adds one candidate.
 /// \param context Members and settings.
 /// \param record The record; changed in place.
-/// \param unfit Candidates that should go.
+/// \param unfit Candidates that should be removed.
 /// \returns Whether the record was changed.
 [[nodiscard]] bool improveCandidates(const Context &context, CellRecord &record,
                                      const std::vector<InstanceId> &unfit);
 
-/// \brief A live candidate to hand the cell to, preferably in its home zone.
+/// \brief A live candidate for the handover, preferably in the cell's home zone.
 [[nodiscard]] std::optional<InstanceId> chooseSuccessor(const Context &context,
                                                         const CellRecord &record);
 
--- a/src/placement/cell.cpp
+++ b/src/placement/cell.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Between reads of a record that is known to be out of date.
-constexpr Duration readSpacing = std::chrono::milliseconds(500);
+/// Interval between reads of a record that is known to be stale.
+constexpr Duration readInterval = std::chrono::milliseconds(500);
 
 std::vector<BalanceTarget> targetsOf(const Context &context, const ServiceSettings &service)
 {
@@ -48,10 +48,10 @@
         dropRetired(context, now);
         return;
     }
-    if (!hasRecord() || !m_claim.mayStart(now))
+    if (!hasRecord() || !m_claim.canStart(now))
         return;
     if (m_candidate.knownTerm() > m_record.term && now >= m_nextReadAt) {
-        m_nextReadAt = now + readSpacing;
+        m_nextReadAt = now + readInterval;
         context.actions.push_back(ReadAction{context.nextId(), m_id.path()});
     }
     const Member *self = context.findMember(context.self.id);
@@ -65,56 +65,56 @@
 
 bool Cell::isStoreReachable(Context &context, TimePoint now)
 {
-    // While its write is not resolved, this instance promises nothing. So it first makes sure that
-    // the store answers, or else an outage would take the placer's authority away.
-    if (m_readAnsweredAt && now - *m_readAnsweredAt < readSpacing)
+    // This instance promises nothing while the result of its own write is pending. It first checks
+    // that the store answers; otherwise a store outage would cost the placer its authority.
+    if (m_readAnsweredAt && now - *m_readAnsweredAt < readInterval)
         return true;
     if (now >= m_nextReadAt) {
-        m_nextReadAt = now + readSpacing;
+        m_nextReadAt = now + readInterval;
         context.actions.push_back(ReadAction{context.nextId(), m_id.path()});
     }
     return false;
 }
 
-void Cell::clockJumped(Context &context, TimePoint now)
+void Cell::onClockJump(Context &context, TimePoint now)
 {
-    m_candidate.clockJumped(now);
+    m_candidate.onClockJump(now);
     if (m_placer) {
         m_placer->tick(context, now);
         dropRetired(context, now);
     }
 }
 
-void Cell::observed(Context &context, const CellRecord &record, ObjectVersion version,
-                    TimePoint now)
+void Cell::onObserved(Context &context, const CellRecord &record, ObjectVersion version,
+                      TimePoint now)
 {
     if (version <= m_version || record.cell != m_id)
         return;
     adopt(record, version);
-    m_candidate.observed(record, now);
-    m_entry.observedRecord(context, record, now);
+    m_candidate.onObserved(record, now);
+    m_entry.onRecordObserved(context, record, now);
     if (m_placer) {
-        m_placer->observed(context, record, version, now);
+        m_placer->onObserved(context, record, version, now);
         dropRetired(context, now);
     }
-    if (const auto outcome = m_claim.observed(record, version))
+    if (const auto outcome = m_claim.onObserved(record, version))
         finishClaim(context, record, *outcome, now);
 }
 
-void Cell::written(Context &context, const StoreWrittenEvent &event, TimePoint now)
+void Cell::onWritten(Context &context, const StoreWrittenEvent &event, TimePoint now)
 {
     if (m_claim.owns(event.writeId)) {
         const CellRecord record = *m_claim.pending();
-        if (const auto outcome = m_claim.written(context, event, now))
+        if (const auto outcome = m_claim.onWritten(context, event, now))
             finishClaim(context, record, *outcome, now);
         return;
     }
     if (!m_placer)
         return;
-    m_placer->written(context, event, now);
+    m_placer->onWritten(context, event, now);
     if (m_placer->version() > m_version) {
         adopt(m_placer->record(), m_placer->version());
-        m_candidate.observed(m_record, now);
+        m_candidate.onObserved(m_record, now);
     }
     dropRetired(context, now);
 }
@@ -123,15 +123,15 @@
                        TimePoint now)
 {
     if (!outcome.committed) {
-        const std::string why =
-            outcome.version.value == 0 ? "the store refused the write" : "another write came first";
+        const std::string why = outcome.version.value == 0 ? "the store rejected the write"
+                                                           : "another write was committed first";
         context.log("placement", "Does not place " + m_id.path() + ": " + why + ".");
         return;
     }
     if (outcome.version > m_version)
         adopt(record, outcome.version);
-    m_candidate.observed(record, now);
-    // Promises given while the write was under way count too, so the wait begins only now.
+    m_candidate.onObserved(record, now);
+    // Promises given while the write was in flight count too, so the wait starts only now.
     const bool forgets = context.mutation == ProtocolMutation::PromiseForgotten;
     const TimePoint waitsFrom = forgets ? outcome.sentAt : now;
     LapseWait wait = LapseWait::none();
@@ -148,7 +148,7 @@
     if (!m_placer || !m_placer->isRetired())
         return;
     m_placer.reset();
-    m_candidate.clockJumped(now);
+    m_candidate.onClockJump(now);
     m_nextReadAt = now;
     (void)context;
 }
@@ -166,8 +166,8 @@
 void Cell::takeOver(Context &context, TimePoint now)
 {
     context.log("placement",
-                "Takes over " + m_id.path() + " from silent instance " + m_record.placer.text()
-                    + ".");
+                "Takes over " + m_id.path() + " from unresponsive instance "
+                    + m_record.placer.text() + ".");
     CellRecord record = m_record;
     record.term = std::max(record.term, m_candidate.knownTerm()).next();
     record.placer = context.self.id;
@@ -179,7 +179,7 @@
 
 void Cell::confirmNamed(Context &context, TimePoint now)
 {
-    context.log("placement", "Confirms the hand-over of " + m_id.path() + ".");
+    context.log("placement", "Confirms the handover of " + m_id.path() + ".");
     m_claimedFrom = m_record.candidates;
     claim(context, m_record, m_version, now);
 }
@@ -187,7 +187,7 @@
 void Cell::create(Context &context, const KeyRange &range, TimePoint now)
 {
     const ServiceSettings *service = context.findService(m_id.service);
-    if (service == nullptr || hasRecord() || !m_claim.mayStart(now))
+    if (service == nullptr || hasRecord() || !m_claim.canStart(now))
         return;
     CellRecord record;
     record.cell = m_id;
@@ -207,21 +207,21 @@
     claim(context, std::move(record), ObjectVersion{0}, now);
 }
 
-void Cell::received(Context &context, const InstanceId &from, const PeerMessage &message,
-                    TimePoint now)
+void Cell::onMessage(Context &context, const InstanceId &from, const PeerMessage &message,
+                     TimePoint now)
 {
     if (const auto *request = std::get_if<PromiseRequest>(&message))
         answerPromise(context, from, *request, now);
     else if (const auto *update = std::get_if<RouteUpdate>(&message))
-        m_entry.updated(context, from, *update, now);
+        m_entry.onUpdate(context, from, *update, now);
     if (!m_placer)
         return;
     if (const auto *answer = std::get_if<PromiseAnswer>(&message))
-        m_placer->promiseAnswered(context, from, *answer, now);
+        m_placer->onPromiseAnswer(context, from, *answer, now);
     else if (const auto *ack = std::get_if<RouteAck>(&message))
-        m_placer->acknowledged(context, from, *ack, now);
+        m_placer->onAcknowledged(context, from, *ack, now);
     else if (const auto *report = std::get_if<LoadReport>(&message))
-        m_placer->loadReported(from, *report, now);
+        m_placer->onLoadReport(from, *report, now);
     dropRetired(context, now);
 }
 
@@ -242,20 +242,20 @@
     }
 }
 
-void Cell::targetAnswered(Context &context, const TargetAnswerEvent &event, TimePoint now)
+void Cell::onTargetAnswer(Context &context, const TargetAnswerEvent &event, TimePoint now)
 {
     if (!m_placer)
         return;
-    m_placer->targetAnswered(context, event, now);
+    m_placer->onTargetAnswer(context, event, now);
     dropRetired(context, now);
 }
 
-void Cell::becameIdle(Context &context, const SliceIdleEvent &event, TimePoint now)
+void Cell::onSliceIdle(Context &context, const SliceIdleEvent &event, TimePoint now)
 {
-    m_entry.becameIdle(context, event.range, event.token, now);
+    m_entry.onSliceIdle(context, event.range, event.token, now);
 }
 
-void Cell::loadMeasured(Context &context, const LoadReport &report)
+void Cell::onLoadMeasured(Context &context, const LoadReport &report)
 {
     const InstanceId &placer = m_entry.placer().empty() ? m_record.placer : m_entry.placer();
     if (placer.empty())
--- a/src/placement/cell.hpp
+++ b/src/placement/cell.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief One cell at one instance: as entry, as candidate and as placer.
+/// \brief One cell at one instance in the roles of entry, candidate and placer.
 #pragma once
 
 #include "ownership/candidate.hpp"
@@ -18,23 +18,24 @@
 {
 public:
     /// \param id The cell.
-    /// \param now When it became known.
+    /// \param now When the cell became known.
     Cell(CellId id, TimePoint now);
 
     /// \name Events
     /// @{
     void tick(Context &context, TimePoint now);
-    void clockJumped(Context &context, TimePoint now);
-    /// \brief The record was seen in the store or offered by a peer; lower versions are dropped.
-    void observed(Context &context, const CellRecord &record, ObjectVersion version, TimePoint now);
-    /// \brief The store answered a read of the record.
-    void readAnswered(TimePoint now) { m_readAnsweredAt = now; }
-    void written(Context &context, const StoreWrittenEvent &event, TimePoint now);
-    void received(Context &context, const InstanceId &from, const PeerMessage &message,
-                  TimePoint now);
-    void targetAnswered(Context &context, const TargetAnswerEvent &event, TimePoint now);
-    void becameIdle(Context &context, const SliceIdleEvent &event, TimePoint now);
-    void loadMeasured(Context &context, const LoadReport &report);
+    void onClockJump(Context &context, TimePoint now);
+    /// \brief Handles a record from the store or a peer; lower versions are ignored.
+    void onObserved(Context &context, const CellRecord &record, ObjectVersion version,
+                    TimePoint now);
+    /// \brief Handles the store's answer to a read of the record.
+    void onReadAnswered(TimePoint now) { m_readAnsweredAt = now; }
+    void onWritten(Context &context, const StoreWrittenEvent &event, TimePoint now);
+    void onMessage(Context &context, const InstanceId &from, const PeerMessage &message,
+                   TimePoint now);
+    void onTargetAnswer(Context &context, const TargetAnswerEvent &event, TimePoint now);
+    void onSliceIdle(Context &context, const SliceIdleEvent &event, TimePoint now);
+    void onLoadMeasured(Context &context, const LoadReport &report);
     /// \brief Creates the record.
     /// \param context Receives the action.
     /// \param range Range of the cell.
--- a/src/placement/context.cpp
+++ b/src/placement/context.cpp
@@ -77,7 +77,7 @@
 
 } // namespace
 
-void Context::noteSeen()
+void Context::updateLastSeen()
 {
     for (const Member &member : members) {
         if (member.alive || member.knownToStore)
--- a/src/placement/context.hpp
+++ b/src/placement/context.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief What all parts of one placement core share while an event is handled.
+/// \brief State shared by all parts of one placement core while it handles an event.
 #pragma once
 
 #include "yuccaspan/balancer.hpp"
@@ -16,17 +16,17 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Silence, and absence from the platform's list, after which an instance counts as ended.
-/// The list must show a running instance within this time.
+/// \brief Time without heartbeats and without being listed by the platform after which an instance
+/// counts as gone. The platform must list a running instance within this time.
 inline constexpr Duration goneAfter = std::chrono::seconds(10);
 
-/// \brief Faults that tests switch on to see that their invariant checks find them.
+/// \brief Faults that tests inject to verify that their invariant checks detect them.
 enum class ProtocolMutation {
-    None, ///< The protocol as it is.
-    NoWaitBeforeTakeover, ///< A new placer does not wait until earlier terms have lapsed.
-    PromiseForgotten, ///< A candidate that takes over forgets what it promised since it began.
-    UnionDropped, ///< A pending list of candidates replaces the committed one at once.
-    LeaseCountedFromReceipt, ///< A view lease runs from the update's arrival.
+    None, ///< The correct protocol.
+    NoWaitBeforeTakeover, ///< A new placer does not wait for earlier terms to expire.
+    PromiseForgotten, ///< A candidate forgets promises made during its takeover.
+    UnionDropped, ///< A pending candidate list replaces the committed one at once.
+    LeaseCountedFromReceipt, ///< A view lease starts when the update arrives.
     SettleBeforeRevoke, ///< The next owner is granted before the owner's grant has ended.
 };
 
@@ -52,9 +52,9 @@
     PlacementTiming timing; ///< Timing of the protocol.
     ProtocolMutation mutation = ProtocolMutation::None; ///< Fault under test.
     PlacementPolicy policy; ///< Balancing and sharing.
-    std::shared_ptr<const Settings> settings; ///< In force; null at first.
+    std::shared_ptr<const Settings> settings; ///< Settings in force; null until received.
     std::vector<Member> members; ///< In the order of their ids.
-    TimePoint now; ///< Time of the event that is handled.
+    TimePoint now; ///< Time of the current event.
     TimePoint startedAt; ///< Time of the first event.
     std::map<InstanceId, TimePoint> lastSeen; ///< When members were last alive or listed.
     PlacementActions actions; ///< Collected while an event is handled.
@@ -74,23 +74,23 @@
 
     /// \name Look-up
     /// @{
-    /// \brief The member of that name, or null.
+    /// \brief The member with the id, or null.
     [[nodiscard]] const Member *findMember(const InstanceId &id) const noexcept;
-    /// \brief Whether membership hears the instance.
+    /// \brief Whether heartbeats of the instance arrive.
     [[nodiscard]] bool isAlive(const InstanceId &id) const noexcept;
     /// \brief Settings of a service, or null.
     [[nodiscard]] const ServiceSettings *findService(const ServiceName &name) const noexcept;
     /// \brief Settings of a target of a service, or null.
     [[nodiscard]] const TargetSettings *findTarget(const ServiceName &service,
                                                    const TargetId &id) const noexcept;
-    /// \brief Whether the target checks grants; true for one that is not known.
+    /// \brief Whether the target checks grants; true for an unknown target.
     [[nodiscard]] bool checksGrants(const ServiceName &service, const TargetId &id) const noexcept;
     /// @}
 
-    /// \brief Notes which members are alive or listed now.
-    void noteSeen();
+    /// \brief Updates the last-seen times of members that are alive or listed.
+    void updateLastSeen();
 
-    /// \name Drift
+    /// \name Clock drift
     /// @{
     /// \brief A span that is at least as long as `span` on any other clock.
     [[nodiscard]] Duration stretched(Duration span) const noexcept;
@@ -101,8 +101,8 @@
 
 /// \brief Whether an instance is known to have ended.
 ///
-/// It is silent and the platform has not listed it for goneAfter, or a later start of it is heard,
-/// or operators vouch that its zone has stopped.
+/// It has sent no heartbeat and has not been listed for goneAfter, or a later start of it was
+/// heard, or operators have declared its zone stopped.
 [[nodiscard]] bool isGone(const Context &context, const InstanceId &id);
 
 } // namespace yuccaspan::impl
--- a/src/placement/directory.cpp
+++ b/src/placement/directory.cpp
@@ -108,7 +108,7 @@
 {
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
     if (json.is_discarded())
-        return Error{ErrorCode::ParseFailed, "the directory is not JSON", {}};
+        return Error{ErrorCode::ParseFailed, "the directory is not valid JSON", {}};
     std::uint64_t schema = 0;
     std::string service;
     if (!json.is_object() || !readNumber(json, "schema", schema)
@@ -126,7 +126,9 @@
         directory.cells.push_back(std::move(entry));
     }
     if (!coversKeySpace(directory))
-        return Error{ErrorCode::SchemaViolation, "the cells do not cover the key space", {}};
+        return Error{ErrorCode::SchemaViolation,
+                     "the cells of the directory do not cover the key space",
+                     {}};
     return directory;
 }
 
--- a/src/placement/directory.hpp
+++ b/src/placement/directory.hpp
@@ -1,8 +1,8 @@
 /// \file
-/// \brief The directory of a service: which cell holds which range, fixed when first created.
+/// \brief The directory of a service: the range of each cell, fixed at creation.
 ///
 /// Its object is `placement/<service>/directory`. It is created once, if absent, so that instances
-/// with different settings cannot cut one key space in two ways.
+/// with different settings cannot partition one key space in different ways.
 #pragma once
 
 #include "yuccaspan/cell_record.hpp"
@@ -36,13 +36,13 @@
 /// \brief Path of a service's directory.
 [[nodiscard]] std::string directoryPath(const ServiceName &service);
 
-/// \brief The service whose directory lies at the path, or nothing.
+/// \brief The service whose directory is stored at the path, if any.
 [[nodiscard]] std::optional<ServiceName> directoryOfPath(std::string_view path);
 
-/// \brief The cell whose record lies at the path, or nothing.
+/// \brief The cell whose record is stored at the path, if any.
 [[nodiscard]] std::optional<CellId> cellOfPath(std::string_view path);
 
-/// \brief Cuts the key space into equal ranges, `cellsPerZone` for each zone.
+/// \brief Divides the key space into equal ranges, `cellsPerZone` for each zone.
 [[nodiscard]] Directory planDirectory(const ServiceSettings &service,
                                       const std::vector<ZoneSettings> &zones);
 
--- a/src/placement/entry_view.cpp
+++ b/src/placement/entry_view.cpp
@@ -7,8 +7,8 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// Acknowledgements whose sending time is remembered.
-constexpr std::size_t rememberedAcks = 64;
+/// Number of acknowledgements whose send time is kept.
+constexpr std::size_t maxTrackedAcks = 64;
 } // namespace
 
 void overlayRoutes(std::vector<Route> &routes, const std::vector<Route> &changes)
@@ -46,8 +46,8 @@
 EntryView::EntryView(CellId cell) : m_cell(std::move(cell))
 { }
 
-void EntryView::updated(Context &context, const InstanceId &from, const RouteUpdate &update,
-                        TimePoint now)
+void EntryView::onUpdate(Context &context, const InstanceId &from, const RouteUpdate &update,
+                         TimePoint now)
 {
     if (update.term < m_term)
         return;
@@ -103,8 +103,8 @@
     m_leaseEnd = std::max(m_leaseEnd, (fromReceipt ? now : ack->sentAt) + update.viewLease);
 }
 
-void EntryView::becameIdle(Context &context, const KeyRange &range, FencingToken token,
-                           TimePoint now)
+void EntryView::onSliceIdle(Context &context, const KeyRange &range, FencingToken token,
+                            TimePoint now)
 {
     const GrantedSlice idle{range, token};
     const bool isHeld = std::ranges::any_of(m_routes, [&](const Route &route) {
@@ -117,7 +117,7 @@
         acknowledge(context, now);
 }
 
-void EntryView::observedRecord(Context &context, const CellRecord &record, TimePoint now)
+void EntryView::onRecordObserved(Context &context, const CellRecord &record, TimePoint now)
 {
     const bool isNewer = record.term > m_term;
     const bool isSilent = now - m_heardAt > 2 * context.timing.viewLeaseLength;
@@ -126,8 +126,8 @@
     std::vector<Route> routes = routesOfRecord(record);
     if (routes == m_routes && !isNewer)
         return;
-    // The view lease covers only what a placer said, so that targets that do not check grants get
-    // nothing under routes of the record.
+    // The view lease covers only routes sent by a placer, so that targets that do not check grants
+    // receive no requests under routes taken from the record.
     m_leaseEnd = TimePoint();
     m_routes = std::move(routes);
     m_range = record.range;
@@ -152,7 +152,7 @@
     for (const GrantedSlice &idle : m_idle)
         ack.idle.push_back(idle.range);
     m_acks.push_back({ack.ackSequence, now});
-    if (m_acks.size() > rememberedAcks)
+    if (m_acks.size() > maxTrackedAcks)
         m_acks.pop_front();
     context.send(m_placer, std::move(ack));
 }
--- a/src/placement/entry_view.hpp
+++ b/src/placement/entry_view.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief The routes of one cell as an entry instance holds them.
+/// \brief The routes of one cell at an entry instance.
 #pragma once
 
 #include "placement/context.hpp"
@@ -10,31 +10,31 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Puts changed routes in place of those that they overlap.
+/// \brief Replaces the routes that the changed routes overlap.
 /// \param routes Routes in the order of their ranges; changed in place.
-/// \param changes Changed routes, which together cover every old route that they touch.
+/// \param changes Changed routes; together they cover every old route that they overlap.
 void overlayRoutes(std::vector<Route> &routes, const std::vector<Route> &changes);
 
-/// \brief Routes of a record, for when no placer was heard: slices that move are held.
+/// \brief Routes derived from a record while no placer has been heard; moving slices are held.
 [[nodiscard]] std::vector<Route> routesOfRecord(const CellRecord &record);
 
-/// \brief Applies the updates of a placer, keeps the view lease, and falls back to the record.
+/// \brief Applies updates of a placer, tracks the view lease, and falls back to the record.
 class EntryView
 {
 public:
     /// \param cell The cell.
     explicit EntryView(CellId cell);
 
-    /// \brief An update arrived. Older ones are dropped; others are acknowledged.
-    void updated(Context &context, const InstanceId &from, const RouteUpdate &update,
-                 TimePoint now);
-    /// \brief The data path has no request of a held slice in flight any more.
-    void becameIdle(Context &context, const KeyRange &range, FencingToken token, TimePoint now);
-    /// \brief Falls back to the record if it is newer than what placers said.
-    void observedRecord(Context &context, const CellRecord &record, TimePoint now);
-    /// \brief The highest term heard of from a placer.
+    /// \brief Handles an update: stale ones are dropped, others are acknowledged.
+    void onUpdate(Context &context, const InstanceId &from, const RouteUpdate &update,
+                  TimePoint now);
+    /// \brief Handles the report that no request of a held slice is in flight any longer.
+    void onSliceIdle(Context &context, const KeyRange &range, FencingToken token, TimePoint now);
+    /// \brief Falls back to the record if it is newer than the last update of a placer.
+    void onRecordObserved(Context &context, const CellRecord &record, TimePoint now);
+    /// \brief The highest term received from a placer.
     [[nodiscard]] Term term() const noexcept { return m_term; }
-    /// \brief The placer that was heard last, or an empty id.
+    /// \brief The placer that sent the last update, or an empty id.
     [[nodiscard]] const InstanceId &placer() const noexcept { return m_placer; }
 
 private:
--- a/src/placement/load_summary.cpp
+++ b/src/placement/load_summary.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 constexpr Duration reportLifetime = std::chrono::seconds(3);
-/// Slowdown from which a target counts as slow.
-constexpr double slowLimit = 1.5;
+/// Slowdown above which a target counts as slow.
+constexpr double slowdownThreshold = 1.5;
 } // namespace
 
 void LoadSummary::add(const InstanceId &from, const LoadReport &report, TimePoint now)
@@ -16,13 +16,13 @@
     if (report.sequence <= latest.report.sequence && now - latest.at < reportLifetime)
         return;
     latest = {report, now};
-    noteSlowness(report, now);
+    updateSlowTargets(report, now);
 }
 
-void LoadSummary::noteSlowness(const LoadReport &report, TimePoint now)
+void LoadSummary::updateSlowTargets(const LoadReport &report, TimePoint now)
 {
     for (const TargetObservation &observation : report.targets) {
-        if (slowdown(observation.target, now) > slowLimit)
+        if (slowdown(observation.target, now) > slowdownThreshold)
             m_slowSince.try_emplace(observation.target, now);
         else
             m_slowSince.erase(observation.target);
--- a/src/placement/load_summary.hpp
+++ b/src/placement/load_summary.hpp
@@ -9,17 +9,17 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Sums reports over instances; reports that were not renewed are passed over.
+/// \brief Aggregates reports over instances; stale reports are ignored.
 class LoadSummary
 {
 public:
-    /// \brief Notes a report, unless a later one of the sender is known.
+    /// \brief Stores a report, unless a later one of the sender is known.
     void add(const InstanceId &from, const LoadReport &report, TimePoint now);
     /// \brief Load of slices and hot keys, summed over instances.
     [[nodiscard]] std::vector<SliceLoad> sliceLoads(TimePoint now) const;
-    /// \brief The slowdown that more than half of the reporting instances see at the least.
+    /// \brief The minimum slowdown seen by more than half of the reporting instances.
     [[nodiscard]] double slowdown(const TargetId &target, TimePoint now) const;
-    /// \brief For how long slowdown() has been above the limit.
+    /// \brief How long slowdown() has been above the threshold.
     [[nodiscard]] Duration slowFor(const TargetId &target, TimePoint now) const;
     /// \brief Slots of a target that each instance would use.
     [[nodiscard]] std::map<InstanceId, double> demand(const TargetId &target, TimePoint now) const;
@@ -31,7 +31,7 @@
         TimePoint at;
     };
 
-    void noteSlowness(const LoadReport &report, TimePoint now);
+    void updateSlowTargets(const LoadReport &report, TimePoint now);
 
     std::map<InstanceId, Report> m_reports;
     std::map<TargetId, TimePoint> m_slowSince;
--- a/src/placement/node.cpp
+++ b/src/placement/node.cpp
@@ -14,8 +14,8 @@
 namespace impl {
 
 namespace {
-/// Largest difference of clock rates with which the lapse of leases is still bounded.
-constexpr double largestDrift = 0.1;
+/// Largest difference of clock rates for which lease expiry is still bounded.
+constexpr double maxDrift = 0.1;
 } // namespace
 
 PlacementPolicy defaultPolicy()
@@ -30,17 +30,17 @@
     };
     if (timing.tickInterval <= Duration::zero() || timing.renewInterval <= Duration::zero()
         || timing.promiseInterval <= Duration::zero() || timing.orderTimeout <= Duration::zero())
-        return fail("intervals of placement must be positive");
+        return fail("placement intervals must be positive");
     if (timing.grantLength < 2 * timing.renewInterval
         || timing.viewLeaseLength < 2 * timing.renewInterval)
         return fail("a grant must outlast two renewals");
     if (timing.authorityLength < 2 * timing.promiseInterval
         || timing.suspectAfter < 2 * timing.promiseInterval)
-        return fail("authority must outlast two requests for promises");
-    if (timing.maxDriftRate < 0 || timing.maxDriftRate > largestDrift)
-        return fail("the drift of clocks must be between 0 and 0.1");
+        return fail("authority must outlast two promise intervals");
+    if (timing.maxDriftRate < 0 || timing.maxDriftRate > maxDrift)
+        return fail("the clock drift rate must be between 0 and 0.1");
     if (timing.maxCandidates == 0)
-        return fail("a cell needs a candidate");
+        return fail("a cell needs at least one candidate");
     return ok();
 }
 
@@ -71,8 +71,8 @@
     m_context.now = now;
     if (m_context.startedAt == TimePoint())
         m_context.startedAt = now;
-    m_context.noteSeen();
-    std::visit([&](const auto &value) { take(value, now); }, event);
+    m_context.updateLastSeen();
+    std::visit([&](const auto &value) { process(value, now); }, event);
     while (!m_context.loopback.empty()) {
         const PeerEnvelope envelope = std::move(m_context.loopback.front());
         m_context.loopback.pop_front();
@@ -120,31 +120,31 @@
     return found == m_cells.end() ? nullptr : found->second.cell.get();
 }
 
-void Node::take(const TickEvent &, TimePoint now)
+void Node::process(const TickEvent &, TimePoint now)
 {
     if (m_context.settings != nullptr) {
         for (const ServiceSettings &service : m_context.settings->services)
-            seekDirectory(service, m_services[service.name], now);
+            findOrCreateDirectory(service, m_services[service.name], now);
     }
     for (auto &[id, state] : m_cells) {
-        seekRecord(state, now);
+        findOrCreateRecord(state, now);
         state.cell->tick(m_context, now);
         if (m_leaving && state.cell->placer() != nullptr)
             state.cell->placer()->leave(m_context, now);
     }
-    askForState(now);
+    requestState(now);
 }
 
-void Node::take(const ClockJumpEvent &event, TimePoint now)
+void Node::process(const ClockJumpEvent &event, TimePoint now)
 {
     m_context.log("ownership",
                   "The clock jumped by " + std::to_string(event.gap.count() / 1000)
-                      + " ms; leases are checked.");
+                      + " ms; checking leases.");
     for (auto &[id, state] : m_cells)
-        state.cell->clockJumped(m_context, now);
+        state.cell->onClockJump(m_context, now);
 }
 
-void Node::take(const SettingsEvent &event, TimePoint)
+void Node::process(const SettingsEvent &event, TimePoint)
 {
     const bool isOlder =
         m_context.settings != nullptr && event.settings->version < m_context.settings->version;
@@ -152,17 +152,17 @@
         m_context.settings = event.settings;
 }
 
-void Node::take(const MembersEvent &event, TimePoint)
+void Node::process(const MembersEvent &event, TimePoint)
 {
     m_context.members = event.members;
 }
 
-void Node::take(const StoreValueEvent &event, TimePoint now)
+void Node::process(const StoreValueEvent &event, TimePoint now)
 {
     observeObject(event.path, event.version, event.value, now);
 }
 
-void Node::take(const StoreReadEvent &event, TimePoint now)
+void Node::process(const StoreReadEvent &event, TimePoint now)
 {
     const auto read = m_reads.find(event.readId);
     if (read == m_reads.end())
@@ -172,7 +172,7 @@
     if (!event.answered)
         return;
     if (const auto id = cellOfPath(path); id && findCell(*id) != nullptr)
-        findCell(*id)->readAnswered(now);
+        findCell(*id)->onReadAnswered(now);
     if (event.version.value != 0) {
         observeObject(path, event.version, event.value, now);
         return;
@@ -186,11 +186,11 @@
     }
 }
 
-void Node::take(const StoreWrittenEvent &event, TimePoint now)
+void Node::process(const StoreWrittenEvent &event, TimePoint now)
 {
     for (auto &[id, state] : m_cells) {
         if (state.cell->owns(event.writeId)) {
-            state.cell->written(m_context, event, now);
+            state.cell->onWritten(m_context, event, now);
             return;
         }
     }
@@ -202,55 +202,56 @@
     }
 }
 
-void Node::take(const PeerEvent &event, TimePoint now)
+void Node::process(const PeerEvent &event, TimePoint now)
 {
     deliver(event.envelope, now);
 }
 
-void Node::take(const TargetAnswerEvent &event, TimePoint now)
+void Node::process(const TargetAnswerEvent &event, TimePoint now)
 {
     for (auto &[id, state] : m_cells)
-        state.cell->targetAnswered(m_context, event, now);
+        state.cell->onTargetAnswer(m_context, event, now);
 }
 
-void Node::take(const SliceIdleEvent &event, TimePoint now)
+void Node::process(const SliceIdleEvent &event, TimePoint now)
 {
     if (Cell *cell = findCell(event.cell))
-        cell->becameIdle(m_context, event, now);
+        cell->onSliceIdle(m_context, event, now);
 }
 
-void Node::take(const LocalLoadEvent &event, TimePoint)
+void Node::process(const LocalLoadEvent &event, TimePoint)
 {
     for (const LoadReport &report : event.reports) {
         if (Cell *cell = findCell(report.cell))
-            cell->loadMeasured(m_context, report);
+            cell->onLoadMeasured(m_context, report);
     }
 }
 
-void Node::take(const MoveRequestEvent &event, TimePoint now)
+void Node::process(const MoveRequestEvent &event, TimePoint now)
 {
     Cell *cell = findCell(event.cell);
     if (cell != nullptr && cell->placer() != nullptr)
-        cell->placer()->moveRequested(m_context, event, now);
+        cell->placer()->onMoveRequest(m_context, event, now);
     else
-        m_context.log("placement", "Refuses a move: this instance does not place the cell.");
+        m_context.log("placement",
+                      "Rejects a move request: this instance is not the placer of the cell.");
 }
 
-void Node::take(const SplitRequestEvent &event, TimePoint)
+void Node::process(const SplitRequestEvent &event, TimePoint)
 {
     Cell *cell = findCell(event.cell);
     if (cell != nullptr && cell->placer() != nullptr)
-        cell->placer()->splitRequested(event);
+        cell->placer()->onSplitRequest(event);
 }
 
-void Node::take(const MergeRequestEvent &event, TimePoint)
+void Node::process(const MergeRequestEvent &event, TimePoint)
 {
     Cell *cell = findCell(event.cell);
     if (cell != nullptr && cell->placer() != nullptr)
-        cell->placer()->mergeRequested(event);
+        cell->placer()->onMergeRequest(event);
 }
 
-void Node::take(const LeaveEvent &, TimePoint now)
+void Node::process(const LeaveEvent &, TimePoint now)
 {
     m_leaving = true;
     for (auto &[id, state] : m_cells) {
--- a/src/placement/node.hpp
+++ b/src/placement/node.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief The placement core of one instance: directories and cells, and where events go.
+/// \brief The placement core of one instance: its directories and cells, and event dispatch.
 #pragma once
 
 #include "placement/cell.hpp"
@@ -41,31 +41,31 @@
         std::optional<TimePoint> absentSince;
     };
 
-    void take(const TickEvent &event, TimePoint now);
-    void take(const ClockJumpEvent &event, TimePoint now);
-    void take(const SettingsEvent &event, TimePoint now);
-    void take(const MembersEvent &event, TimePoint now);
-    void take(const StoreValueEvent &event, TimePoint now);
-    void take(const StoreWrittenEvent &event, TimePoint now);
-    void take(const StoreReadEvent &event, TimePoint now);
-    void take(const PeerEvent &event, TimePoint now);
-    void take(const TargetAnswerEvent &event, TimePoint now);
-    void take(const SliceIdleEvent &event, TimePoint now);
-    void take(const LocalLoadEvent &event, TimePoint now);
-    void take(const MoveRequestEvent &event, TimePoint now);
-    void take(const SplitRequestEvent &event, TimePoint now);
-    void take(const MergeRequestEvent &event, TimePoint now);
-    void take(const LeaveEvent &event, TimePoint now);
+    void process(const TickEvent &event, TimePoint now);
+    void process(const ClockJumpEvent &event, TimePoint now);
+    void process(const SettingsEvent &event, TimePoint now);
+    void process(const MembersEvent &event, TimePoint now);
+    void process(const StoreValueEvent &event, TimePoint now);
+    void process(const StoreWrittenEvent &event, TimePoint now);
+    void process(const StoreReadEvent &event, TimePoint now);
+    void process(const PeerEvent &event, TimePoint now);
+    void process(const TargetAnswerEvent &event, TimePoint now);
+    void process(const SliceIdleEvent &event, TimePoint now);
+    void process(const LocalLoadEvent &event, TimePoint now);
+    void process(const MoveRequestEvent &event, TimePoint now);
+    void process(const SplitRequestEvent &event, TimePoint now);
+    void process(const MergeRequestEvent &event, TimePoint now);
+    void process(const LeaveEvent &event, TimePoint now);
 
     void deliver(const PeerEnvelope &envelope, TimePoint now);
     void offerState(const InstanceId &to);
-    void askForState(TimePoint now);
+    void requestState(TimePoint now);
     void observeObject(const std::string &path, ObjectVersion version, const std::string &value,
                        TimePoint now);
     void observeDirectory(const ServiceName &service, ObjectVersion version,
                           const std::string &value, TimePoint now);
-    void seekDirectory(const ServiceSettings &service, ServiceState &state, TimePoint now);
-    void seekRecord(CellState &state, TimePoint now);
+    void findOrCreateDirectory(const ServiceSettings &service, ServiceState &state, TimePoint now);
+    void findOrCreateRecord(CellState &state, TimePoint now);
     [[nodiscard]] bool mayCreate(std::optional<TimePoint> &absentSince, const std::string &path,
                                  const ZoneId &preferredZone, TimePoint now) const;
     void read(const std::string &path);
@@ -77,21 +77,21 @@
     std::map<ServiceName, ServiceState> m_services;
     std::map<CellId, CellState> m_cells;
     std::map<std::uint64_t, std::string> m_reads;
-    TimePoint m_nextAskAt;
-    std::size_t m_nextAsked = 0;
+    TimePoint m_nextStateRequestAt;
+    std::size_t m_nextPeerIndex = 0;
     bool m_leaving = false;
 };
 
-/// \brief As makePlacementNode(), with a policy and a fault under test.
+/// \brief Like makePlacementNode(), with a custom policy and an injected fault.
 [[nodiscard]] Result<std::unique_ptr<PlacementNode>> makeNode(PlacementSelf self,
                                                               PlacementTiming timing,
                                                               PlacementPolicy policy,
                                                               ProtocolMutation mutation);
 
-/// \brief The policy of yuccaspan/balancer.hpp.
+/// \brief The policy defined in yuccaspan/balancer.hpp.
 [[nodiscard]] PlacementPolicy defaultPolicy();
 
-/// \brief Checks that a timing can keep the protocol's promises.
+/// \brief Checks that the timing satisfies the protocol's constraints.
 [[nodiscard]] Status checkTiming(const PlacementTiming &timing);
 
 } // namespace yuccaspan::impl
--- a/src/placement/node_objects.cpp
+++ b/src/placement/node_objects.cpp
@@ -1,4 +1,4 @@
-// Directories and records: finding, creating, and exchange with peers.
+// Finds and creates directories and records, and exchanges them with peers.
 #include "placement/candidate_choice.hpp"
 #include "placement/node.hpp"
 
@@ -8,11 +8,11 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// Between reads of an object that is not known yet.
-constexpr Duration readSpacing = std::chrono::milliseconds(500);
-/// Between requests to peers for what the store did not tell.
-constexpr Duration askSpacing = std::chrono::milliseconds(500);
-/// Instances further down the order wait this much longer before they create an absent object.
+/// Interval between reads of an object that is not known yet.
+constexpr Duration readInterval = std::chrono::milliseconds(500);
+/// Interval between requests to peers for state that the store did not return.
+constexpr Duration stateRequestInterval = std::chrono::milliseconds(500);
+/// Additional delay per rank before an instance creates an absent object.
 constexpr Duration creationDelay = std::chrono::milliseconds(500);
 } // namespace
 
@@ -30,7 +30,7 @@
         if constexpr (requires { message.cell; }) {
             if (!message.cell.service.empty())
                 cellState(message.cell, now)
-                    .cell->received(m_context, envelope.from, envelope.message, now);
+                    .cell->onMessage(m_context, envelope.from, envelope.message, now);
         }
     };
     std::visit(toCell, envelope.message);
@@ -53,16 +53,16 @@
     }
 }
 
-void Node::askForState(TimePoint now)
+void Node::requestState(TimePoint now)
 {
     const bool knowsAll = m_context.settings != nullptr
         && std::ranges::all_of(m_services,
                                [](const auto &item) { return item.second.directory.has_value(); })
         && std::ranges::all_of(m_cells,
                                [](const auto &item) { return item.second.cell->hasRecord(); });
-    if (knowsAll || now < m_nextAskAt)
+    if (knowsAll || now < m_nextStateRequestAt)
         return;
-    m_nextAskAt = now + askSpacing;
+    m_nextStateRequestAt = now + stateRequestInterval;
     std::vector<InstanceId> peers;
     for (const Member &member : m_context.members) {
         if (member.alive && member.id != m_context.self.id)
@@ -72,7 +72,7 @@
         return;
     const ObjectVersion version =
         m_context.settings == nullptr ? ObjectVersion{} : m_context.settings->version;
-    m_context.send(peers[m_nextAsked++ % peers.size()], StateRequest{version});
+    m_context.send(peers[m_nextPeerIndex++ % peers.size()], StateRequest{version});
 }
 
 void Node::observeObject(const std::string &path, ObjectVersion version, const std::string &value,
@@ -87,15 +87,17 @@
         return;
     if (version.value == 0) {
         if (Cell *cell = findCell(*id); cell != nullptr && cell->hasRecord())
-            m_context.log("placement", "Record " + path + " was deleted; it is kept in force.");
+            m_context.log("placement",
+                          "Record " + path + " was deleted from the store; keeping it in force.");
         return;
     }
     const Result<CellRecord> record = decodeCellRecord(value);
     if (!record) {
-        m_context.log("placement", "Passes over record " + path + ": " + record.error().text + ".");
+        m_context.log("placement",
+                      "Ignores invalid record " + path + ": " + record.error().text + ".");
         return;
     }
-    cellState(*id, now).cell->observed(m_context, *record, version, now);
+    cellState(*id, now).cell->onObserved(m_context, *record, version, now);
 }
 
 void Node::observeDirectory(const ServiceName &service, ObjectVersion version,
@@ -106,7 +108,7 @@
         return;
     Result<Directory> directory = decodeDirectory(value);
     if (!directory || directory->service != service) {
-        m_context.log("placement", "Passes over the directory of " + service.text() + ".");
+        m_context.log("placement", "Ignores the invalid directory of " + service.text() + ".");
         return;
     }
     for (const DirectoryEntry &entry : directory->cells)
@@ -115,13 +117,13 @@
     state.directory = std::move(*directory);
 }
 
-void Node::seekDirectory(const ServiceSettings &service, ServiceState &state, TimePoint now)
+void Node::findOrCreateDirectory(const ServiceSettings &service, ServiceState &state, TimePoint now)
 {
     if (state.directory || state.writeId != 0)
         return;
     const std::string path = directoryPath(service.name);
     if (now >= state.nextReadAt) {
-        state.nextReadAt = now + readSpacing;
+        state.nextReadAt = now + readInterval;
         read(path);
     }
     if (!mayCreate(state.absentSince, path, {}, now))
@@ -136,14 +138,14 @@
         WriteAction{state.writeId, path, ObjectVersion{0}, encodeDirectory(directory)});
 }
 
-void Node::seekRecord(CellState &state, TimePoint now)
+void Node::findOrCreateRecord(CellState &state, TimePoint now)
 {
     Cell &cell = *state.cell;
     if (cell.hasRecord() || cell.isClaiming())
         return;
     const std::string path = cell.id().path();
     if (now >= state.nextReadAt) {
-        state.nextReadAt = now + readSpacing;
+        state.nextReadAt = now + readInterval;
         read(path);
     }
     const auto service = m_services.find(cell.id().service);
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -1,4 +1,4 @@
-// Authority of a placer and the record that it commits.
+// Authority of a placer and handling of committed records.
 #include "placement/placer.hpp"
 
 #include <algorithm>
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Requests for promises whose sending time is remembered.
-constexpr std::size_t rememberedPromises = 32;
+/// Number of promise requests whose send time is kept.
+constexpr std::size_t maxTrackedPromises = 32;
 
 std::string nameOf(const CellRecord &record)
 {
@@ -28,12 +28,12 @@
       m_balancer(context.policy.makeBalancer()),
       m_dropsUnion(context.mutation == ProtocolMutation::UnionDropped)
 {
-    m_authority.confirmed(start.confirmedAt);
-    loadSlices(!m_earlierTerms.wasOver());
+    m_authority.recordConfirmation(start.confirmedAt);
+    loadSlices(!m_earlierTerms.hasEnded());
     context.log("placement",
                 "Places " + nameOf(m_record) + " in term " + std::to_string(m_record.term.value)
                     + ".");
-    askPromises(context, now);
+    requestPromises(context, now);
     progress(context, now);
 }
 
@@ -49,7 +49,7 @@
                 run.holds.push_back({slice.nextOwner, {}, {}, true});
             run.move.emplace();
             run.move->to = slice.nextOwner;
-            run.move->why = "an earlier placer began it";
+            run.move->why = "started by an earlier placer";
             run.move->life.handle(MoveSignal::IntentCommitted);
             run.move->life.handle(MoveSignal::Drained);
         }
@@ -66,7 +66,7 @@
                              pending == nullptr ? nullptr : &pending->candidates, now);
 }
 
-bool Placer::earlierLapsed(const Context &context, TimePoint now)
+bool Placer::earlierTermsExpired(const Context &context, TimePoint now)
 {
     if (context.mutation == ProtocolMutation::NoWaitBeforeTakeover)
         return true;
@@ -78,13 +78,13 @@
     if (isRetired())
         return;
     m_writer.tick(context, now);
-    if (m_life.phase() == PlacerPhase::Waiting && earlierLapsed(context, now)) {
+    if (m_life.phase() == PlacerPhase::Waiting && earlierTermsExpired(context, now)) {
         m_life.handle(PlacerSignal::EarlierTermsLapsed);
-        context.log("ownership", "Earlier terms of " + nameOf(m_record) + " have lapsed.");
+        context.log("ownership", "Earlier terms of " + nameOf(m_record) + " have expired.");
     }
     endHandOver(context, now);
     if (now >= m_nextPromiseAt)
-        askPromises(context, now);
+        requestPromises(context, now);
     if (now >= m_nextPlanAt)
         plan(context, now);
     progress(context, now);
@@ -110,25 +110,25 @@
     writeIfNeeded(context, now);
 }
 
-void Placer::askPromises(Context &context, TimePoint now)
+void Placer::requestPromises(Context &context, TimePoint now)
 {
     m_nextPromiseAt = now + context.timing.promiseInterval;
     PromiseRequest request{m_record.cell, m_record.term, ++m_promiseSequence,
                            context.timing.authorityLength};
     m_promiseSentAt[request.sequence] = now;
-    if (m_promiseSentAt.size() > rememberedPromises)
+    if (m_promiseSentAt.size() > maxTrackedPromises)
         m_promiseSentAt.erase(m_promiseSentAt.begin());
     std::set<InstanceId> receivers(m_record.candidates.begin(), m_record.candidates.end());
     if (const CellRecord *pending = m_writer.pending())
         receivers.insert(pending->candidates.begin(), pending->candidates.end());
-    if (!m_earlierTerms.wasOver())
+    if (!m_earlierTerms.hasEnded())
         receivers.insert(m_earlierTerms.candidates().begin(), m_earlierTerms.candidates().end());
     receivers.erase(context.self.id);
     for (const InstanceId &receiver : receivers)
         context.send(receiver, request);
 }
 
-void Placer::promiseAnswered(Context &context, const InstanceId &from, const PromiseAnswer &answer,
+void Placer::onPromiseAnswer(Context &context, const InstanceId &from, const PromiseAnswer &answer,
                              TimePoint now)
 {
     if (isRetired())
@@ -140,35 +140,35 @@
     const auto sent = m_promiseSentAt.find(answer.sequence);
     if (!answer.granted || answer.term != m_record.term || sent == m_promiseSentAt.end())
         return;
-    m_authority.promised(from, sent->second);
-    const bool waitsForEarlierTerms = !m_earlierTerms.wasOver();
+    m_authority.recordPromise(from, sent->second);
+    const bool waitsForEarlierTerms = !m_earlierTerms.hasEnded();
     if (waitsForEarlierTerms)
-        m_earlierTerms.refused(from, now);
-    // While authority lasts, a further promise only extends it, which the next tick makes use of.
+        m_earlierTerms.recordRefusal(from, now);
+    // While the placer has authority, another promise only extends it; the next tick handles that.
     if (waitsForEarlierTerms || !m_hadAuthority)
         progress(context, now);
 }
 
-void Placer::acknowledged(Context &context, const InstanceId &from, const RouteAck &ack,
-                          TimePoint now)
+void Placer::onAcknowledged(Context &context, const InstanceId &from, const RouteAck &ack,
+                            TimePoint now)
 {
     if (isRetired())
         return;
-    if (m_publisher.acknowledged(from, ack, now))
+    if (m_publisher.onAcknowledged(from, ack, now))
         progress(context, now);
 }
 
-void Placer::targetAnswered(Context &context, const TargetAnswerEvent &event, TimePoint now)
+void Placer::onTargetAnswer(Context &context, const TargetAnswerEvent &event, TimePoint now)
 {
     if (isRetired())
         return;
-    const AnswerEffect effect = m_book.answered(event.target, event.answer, context.timing, now);
+    const AnswerEffect effect = m_book.onAnswer(event.target, event.answer, context.timing, now);
     if (effect.knownTerm > m_record.term) {
         retire(context, "target " + event.target.text() + " knows a higher term");
         return;
     }
     if (effect.revoked) {
-        // A late answer must not end a grant that was given after the revoke was sent.
+        // A late answer must not end a grant that was issued after the revoke was sent.
         SliceRun *run = findRun(effect.revoked->range);
         const bool isAwaited = run != nullptr && run->move
             && run->move->life.phase() == MovePhase::Revoking
@@ -176,35 +176,35 @@
         if (isAwaited)
             run->release(event.target, effect.revoked->startId);
     }
-    if (effect.isNewStart)
+    if (effect.hasRestarted)
         context.log("ownership", "Target " + event.target.text() + " has a new start id.");
     if (effect.isLost)
         context.log("ownership", "Target " + event.target.text() + " does not answer.");
-    if (effect.isLost || effect.isBack)
+    if (effect.isLost || effect.hasRecovered)
         m_nextPlanAt = std::min(m_nextPlanAt, now);
-    // The renewal of an unchanged set moves nothing forward; the next tick takes note of it.
-    if (effect.isChange)
+    // Renewing an unchanged set advances no move; the next tick handles it.
+    if (effect.hasChanges)
         progress(context, now);
 }
 
-void Placer::written(Context &context, const StoreWrittenEvent &event, TimePoint now)
+void Placer::onWritten(Context &context, const StoreWrittenEvent &event, TimePoint now)
 {
     if (!m_writer.owns(event.writeId))
         return;
     const CellRecord *pending = m_writer.pending();
     CellRecord record = *pending;
-    const auto outcome = m_writer.written(context, event, now);
+    const auto outcome = m_writer.onWritten(context, event, now);
     if (outcome && outcome->committed)
         adopt(context, std::move(record), outcome->version, now);
     finishWrite(context, outcome, now);
 }
 
-void Placer::observed(Context &context, const CellRecord &record, ObjectVersion version,
-                      TimePoint now)
+void Placer::onObserved(Context &context, const CellRecord &record, ObjectVersion version,
+                        TimePoint now)
 {
     if (version <= m_version)
         return;
-    const auto outcome = m_writer.observed(record, version);
+    const auto outcome = m_writer.onObserved(record, version);
     if (record.term != m_record.term || record.placer != m_record.placer) {
         retire(context, "term " + std::to_string(record.term.value) + " is in the store");
         return;
@@ -219,7 +219,7 @@
     if (isRetired())
         return;
     if (outcome && outcome->committed)
-        m_authority.confirmed(outcome->sentAt);
+        m_authority.recordConfirmation(outcome->sentAt);
     progress(context, now);
 }
 
@@ -254,10 +254,10 @@
     m_record = std::move(record);
     m_version = version;
     if (handedOver)
-        retire(context, "instance " + m_record.placer.text() + " takes it over");
+        retire(context, "instance " + m_record.placer.text() + " takes over the cell");
 }
 
-void Placer::loadReported(const InstanceId &from, const LoadReport &report, TimePoint now)
+void Placer::onLoadReport(const InstanceId &from, const LoadReport &report, TimePoint now)
 {
     m_loads.add(from, report, now);
 }
@@ -276,7 +276,7 @@
     if (isRetired())
         return;
     m_life.handle(PlacerSignal::TermLost);
-    context.log("placement", "Gives up " + nameOf(m_record) + ": " + why + ".");
+    context.log("placement", "Stops placing " + nameOf(m_record) + ": " + why + ".");
 }
 
 void Placer::describe(CellStatus &status, TimePoint now) const
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -23,19 +23,19 @@
 
 namespace yuccaspan::impl {
 
-/// \brief A slice in words, for the log.
+/// \brief Describes a slice for the log.
 [[nodiscard]] std::string sliceName(const KeyRange &range);
 
-/// \brief A committed term with which a placer starts.
+/// \brief The committed term in which a placer starts.
 struct TermStart
 {
     CellRecord record; ///< The record that names the placer.
-    ObjectVersion version; ///< Its version.
+    ObjectVersion version; ///< Version of the record.
     TimePoint confirmedAt; ///< When the write that confirmed it was sent.
-    LapseWait earlierTerms; ///< The wait for earlier terms.
+    LapseWait earlierTerms; ///< The wait for earlier terms to expire.
 };
 
-/// \brief Keeps authority, grants, routes and moves of one cell.
+/// \brief Manages authority, grants, routes and moves of one cell.
 class Placer
 {
 public:
@@ -44,19 +44,21 @@
     /// \name Events
     /// @{
     void tick(Context &context, TimePoint now);
-    void written(Context &context, const StoreWrittenEvent &event, TimePoint now);
-    /// \brief A record was seen in the store, of at least the version known here.
-    void observed(Context &context, const CellRecord &record, ObjectVersion version, TimePoint now);
-    void promiseAnswered(Context &context, const InstanceId &from, const PromiseAnswer &answer,
+    void onWritten(Context &context, const StoreWrittenEvent &event, TimePoint now);
+    /// \brief Handles a record from the store, of at least the version known here.
+    void onObserved(Context &context, const CellRecord &record, ObjectVersion version,
+                    TimePoint now);
+    void onPromiseAnswer(Context &context, const InstanceId &from, const PromiseAnswer &answer,
                          TimePoint now);
-    void acknowledged(Context &context, const InstanceId &from, const RouteAck &ack, TimePoint now);
-    void targetAnswered(Context &context, const TargetAnswerEvent &event, TimePoint now);
-    void loadReported(const InstanceId &from, const LoadReport &report, TimePoint now);
-    void moveRequested(Context &context, const MoveRequestEvent &request, TimePoint now);
-    void splitRequested(const SplitRequestEvent &request);
-    void mergeRequested(const MergeRequestEvent &request);
+    void onAcknowledged(Context &context, const InstanceId &from, const RouteAck &ack,
+                        TimePoint now);
+    void onTargetAnswer(Context &context, const TargetAnswerEvent &event, TimePoint now);
+    void onLoadReport(const InstanceId &from, const LoadReport &report, TimePoint now);
+    void onMoveRequest(Context &context, const MoveRequestEvent &request, TimePoint now);
+    void onSplitRequest(const SplitRequestEvent &request);
+    void onMergeRequest(const MergeRequestEvent &request);
     void leave(Context &context, TimePoint now);
-    /// \brief A higher term is known: this one is over.
+    /// \brief Ends this term because a higher one is known.
     void retire(Context &context, const std::string &why);
     /// @}
 
@@ -77,12 +79,12 @@
     };
 
     // placer.cpp: authority and record.
-    void askPromises(Context &context, TimePoint now);
+    void requestPromises(Context &context, TimePoint now);
     void progress(Context &context, TimePoint now);
     void finishWrite(Context &context, const std::optional<WriteOutcome> &outcome, TimePoint now);
     void adopt(Context &context, CellRecord record, ObjectVersion version, TimePoint now);
     void loadSlices(bool earlierTerms);
-    [[nodiscard]] bool earlierLapsed(const Context &context, TimePoint now);
+    [[nodiscard]] bool earlierTermsExpired(const Context &context, TimePoint now);
 
     // placer_record.cpp: the next record.
     void writeIfNeeded(Context &context, TimePoint now);
@@ -108,7 +110,7 @@
     // placer_plan.cpp: what to change.
     void plan(Context &context, TimePoint now);
     void watchTargets(Context &context);
-    void evacuateLost(Context &context, TimePoint now);
+    void evacuateLostTargets(Context &context, TimePoint now);
     void planByBalancer(Context &context, TimePoint now);
     [[nodiscard]] std::vector<BalanceTarget> balanceTargets(const Context &context,
                                                             TimePoint now) const;
--- a/src/placement/placer_moves.cpp
+++ b/src/placement/placer_moves.cpp
@@ -8,8 +8,9 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// Wait for entries to finish requests before a target that checks grants is asked itself.
-constexpr Duration drainLimit = std::chrono::milliseconds(300);
+/// Longest wait for entry instances to finish requests before a revoke is sent to a target that
+/// checks grants.
+constexpr Duration drainTimeout = std::chrono::milliseconds(300);
 } // namespace
 
 SliceRun *Placer::findRun(const KeyRange &range)
@@ -21,9 +22,9 @@
 
 void Placer::advanceMoves(Context &context, TimePoint now)
 {
-    const bool lapsed = earlierLapsed(context, now);
+    const bool lapsed = earlierTermsExpired(context, now);
     for (SliceRun &run : m_runs) {
-        run.forgetLapsed(lapsed, now);
+        run.removeExpired(lapsed, now);
         while (run.move && advance(context, run, now))
             run.move->since = now;
     }
@@ -58,7 +59,7 @@
                                         now);
     if (!isUnchecked) {
         isDone =
-            isDone || now - move.since >= drainLimit || m_book.phase(owner) == TargetPhase::Lost;
+            isDone || now - move.since >= drainTimeout || m_book.phase(owner) == TargetPhase::Lost;
     }
     if (isDone)
         move.life.handle(MoveSignal::Drained);
@@ -68,7 +69,7 @@
 bool Placer::release(Context &context, SliceRun &run, TimePoint now)
 {
     Move &move = *run.move;
-    const bool lapsed = earlierLapsed(context, now);
+    const bool lapsed = earlierTermsExpired(context, now);
     const bool skipsRevoke = context.mutation == ProtocolMutation::SettleBeforeRevoke;
     if (!run.isHeldByOthers(move.to, lapsed, now) || skipsRevoke) {
         move.life.handle(MoveSignal::Released);
@@ -100,7 +101,7 @@
 
 void Placer::assignGrants(Context &context, TimePoint now)
 {
-    const bool lapsed = earlierLapsed(context, now);
+    const bool lapsed = earlierTermsExpired(context, now);
     const bool skipsRevoke = context.mutation == ProtocolMutation::SettleBeforeRevoke;
     std::map<TargetId, std::vector<GrantedSlice>> sets;
     std::map<TargetId, std::vector<SliceRun *>> granted;
--- a/src/placement/placer_plan.cpp
+++ b/src/placement/placer_plan.cpp
@@ -1,4 +1,4 @@
-// What a placer changes: slices of lost targets, the balancer's plan, requests of operators.
+// Plans changes: evacuating lost targets, the balancer's plan, operator requests.
 #include "placement/placer.hpp"
 
 #include <algorithm>
@@ -9,7 +9,7 @@
 
 namespace {
 constexpr Duration planInterval = std::chrono::milliseconds(100);
-/// Bound on splits and merges that wait for a write.
+/// Maximum number of splits and merges that wait for a write.
 constexpr std::size_t maxShapeChanges = 64;
 } // namespace
 
@@ -26,7 +26,7 @@
     if (context.findService(m_record.cell.service) == nullptr)
         return;
     watchTargets(context);
-    evacuateLost(context, now);
+    evacuateLostTargets(context, now);
     if (m_life.phase() == PlacerPhase::Active)
         planByBalancer(context, now);
     shareCapacities(context, now);
@@ -85,7 +85,7 @@
     return targets;
 }
 
-void Placer::evacuateLost(Context &context, TimePoint now)
+void Placer::evacuateLostTargets(Context &context, TimePoint now)
 {
     const ServiceSettings &service = *context.findService(m_record.cell.service);
     std::map<TargetId, double> slices;
@@ -109,7 +109,7 @@
             if (best == nullptr || score(target) < score(*best))
                 best = &target;
         }
-        if (best != nullptr && startMove(context, run, best->id, "its owner is lost", now))
+        if (best != nullptr && startMove(context, run, best->id, "the owner is lost", now))
             ++slices[best->id];
     }
 }
@@ -130,10 +130,10 @@
             if (run != nullptr && movesUnderWay() < input.maxMoves)
                 (void)startMove(context, *run, move->to, move->why, now);
         } else if (const auto *split = std::get_if<PlannedSplit>(&change)) {
-            splitRequested({m_record.cell, split->range, split->secondFirst});
+            onSplitRequest({m_record.cell, split->range, split->secondFirst});
         } else {
             const auto &merge = std::get<PlannedMerge>(change);
-            mergeRequested({m_record.cell, merge.lower, merge.upper});
+            onMergeRequest({m_record.cell, merge.lower, merge.upper});
         }
     }
 }
@@ -158,7 +158,7 @@
     return true;
 }
 
-void Placer::moveRequested(Context &context, const MoveRequestEvent &request, TimePoint now)
+void Placer::onMoveRequest(Context &context, const MoveRequestEvent &request, TimePoint now)
 {
     SliceRun *run = findRun(request.range);
     const bool isStarted = !isRetired() && m_life.phase() != PlacerPhase::HandingOver
@@ -167,17 +167,17 @@
         progress(context, now);
     else
         context.log("placement",
-                    "Refuses to move " + sliceName(request.range) + " to " + request.to.text()
-                        + ".");
+                    "Rejects the request to move " + sliceName(request.range) + " to "
+                        + request.to.text() + ".");
 }
 
-void Placer::splitRequested(const SplitRequestEvent &request)
+void Placer::onSplitRequest(const SplitRequestEvent &request)
 {
     if (m_shapeChanges.size() < maxShapeChanges)
         m_shapeChanges.push_back({PlannedSplit{request.range, request.secondFirst}});
 }
 
-void Placer::mergeRequested(const MergeRequestEvent &request)
+void Placer::onMergeRequest(const MergeRequestEvent &request)
 {
     if (m_shapeChanges.size() < maxShapeChanges)
         m_shapeChanges.push_back({PlannedMerge{request.lower, request.upper}});
@@ -191,8 +191,8 @@
 
 void Placer::shareCapacities(Context &context, TimePoint now)
 {
-    // A target's slots are divided by one placer only, that of the first cell of the target's zone,
-    // whichever cells own slices there. Without a share an instance keeps to its floor.
+    // Only one placer divides a target's slots: that of the first cell of the target's zone,
+    // whichever cells own slices there. An instance without a share uses its minimum.
     if (!context.policy.shareCapacity || m_record.cell.index != 0)
         return;
     std::map<InstanceId, std::vector<CapacityShare>> shares;
--- a/src/placement/placer_record.cpp
+++ b/src/placement/placer_record.cpp
@@ -1,4 +1,4 @@
-// The next record that a placer commits: moves, splits, merges, candidates, hand-over.
+// Builds the next record to commit: moves, splits, merges, candidates, handover.
 #include "placement/candidate_choice.hpp"
 #include "placement/placer.hpp"
 
@@ -9,17 +9,17 @@
 
 namespace {
 
-/// Shortest time between writes that only confirm the term.
-constexpr Duration touchSpacing = std::chrono::milliseconds(250);
-/// A leaving placer that nobody can succeed gives up after this time.
-constexpr Duration handOverLimit = std::chrono::seconds(2);
+/// Minimum interval between writes that only confirm the term.
+constexpr Duration minTouchInterval = std::chrono::milliseconds(250);
+/// A leaving placer without a successor retires after this time.
+constexpr Duration handoverTimeout = std::chrono::seconds(2);
 
 std::vector<SliceRecord>::iterator findSlice(CellRecord &record, const KeyRange &range)
 {
     return std::ranges::find(record.slices, range, &SliceRecord::range);
 }
 
-// Whether the slice is settled in the committed record and untouched in the next one.
+// Whether the slice is settled in the committed record and unchanged in the next one.
 bool isSettled(const CellRecord &committed, CellRecord &next, const KeyRange &range)
 {
     const auto before = std::ranges::find(committed.slices, range, &SliceRecord::range);
@@ -60,7 +60,7 @@
 
 void Placer::writeIfNeeded(Context &context, TimePoint now)
 {
-    if (isRetired() || !m_writer.mayStart(now))
+    if (isRetired() || !m_writer.canStart(now))
         return;
     bool changed = false;
     CellRecord next = nextRecord(context, now, changed);
@@ -76,10 +76,10 @@
     }
     m_isRecordTooLarge = false;
     if (next.candidates != m_record.candidates) {
-        m_authority.keep(authorityUntil(now));
+        m_authority.extendUntil(authorityUntil(now));
         m_nextPromiseAt = now;
     }
-    m_nextWriteAt = now + touchSpacing;
+    m_nextWriteAt = now + minTouchInterval;
     m_writer.start(context, std::move(next), std::move(text.value()), m_version, now);
 }
 
@@ -136,7 +136,7 @@
         else
             done = merge(m_record, record, std::get<PlannedMerge>(item.change));
         if (!done)
-            context.log("placement", "Passes over a split or merge that does not fit.");
+            context.log("placement", "Ignores a split or merge that no longer matches the slices.");
         changed = changed || done;
     }
     m_shapeChanges.clear();
@@ -145,7 +145,7 @@
 
 bool Placer::applyCandidates(const Context &context, CellRecord &record, TimePoint now)
 {
-    if (!m_earlierTerms.wasOver())
+    if (!m_earlierTerms.hasEnded())
         return false;
     const Duration patience = 2 * context.timing.suspectAfter;
     std::vector<InstanceId> unfit;
@@ -183,8 +183,8 @@
     const bool isAlone = std::ranges::none_of(context.members, [&](const Member &member) {
         return member.alive && !member.leaving && member.id != context.self.id;
     });
-    if (isAlone && now - m_leavingSince > handOverLimit)
-        retire(context, "no other instance can take it over");
+    if (isAlone && now - m_leavingSince > handoverTimeout)
+        retire(context, "no other instance can take over the cell");
 }
 
 } // namespace yuccaspan::impl
--- a/src/placement/record_codec.cpp
+++ b/src/placement/record_codec.cpp
@@ -113,7 +113,7 @@
             return false;
         if (i == 0)
             continue;
-        // The hash after the last one is 0 again, so the order is checked besides.
+        // Adding 1 to the highest hash wraps around to 0, so the order is checked as well.
         const KeyHash before = record.slices[i - 1].range.last;
         if (before >= range.first || before + 1 != range.first)
             return false;
@@ -143,8 +143,8 @@
     if (text.size() > maxCellRecordBytes) {
         return Error{ErrorCode::LimitExceeded,
                      "the record of cell " + record.cell.path() + " has "
-                         + std::to_string(text.size()) + " bytes, at most "
-                         + std::to_string(maxCellRecordBytes) + " are stored",
+                         + std::to_string(text.size()) + " bytes; the limit is "
+                         + std::to_string(maxCellRecordBytes) + " bytes",
                      {}};
     }
     return text;
@@ -154,7 +154,7 @@
 {
     const impl::Json json = impl::Json::parse(text, nullptr, false);
     if (json.is_discarded())
-        return Error{ErrorCode::ParseFailed, "the cell record is not JSON", {}};
+        return Error{ErrorCode::ParseFailed, "the cell record is not valid JSON", {}};
     std::uint64_t schema = 0;
     if (!json.is_object() || !impl::readNumber(json, "schema", schema))
         return Error{ErrorCode::SchemaViolation, "the cell record has no schema number", {}};
--- a/src/placement/record_json.hpp
+++ b/src/placement/record_json.hpp
@@ -10,8 +10,8 @@
 namespace yuccaspan::impl {
 
 /// \name Readers
-/// Each returns false, and leaves the result unspecified, if the field is missing or of another
-/// kind.
+/// Each returns false, and leaves the result unspecified, if the field is missing or has
+/// another type.
 /// @{
 [[nodiscard]] bool readText(const nlohmann::json &json, const char *name, std::string &text);
 [[nodiscard]] bool readNumber(const nlohmann::json &json, const char *name, std::uint64_t &number);
@@ -23,7 +23,7 @@
 /// \brief The fields `service`, `zone` and `index`.
 [[nodiscard]] nlohmann::json cellIdToJson(const CellId &cell);
 
-/// \brief Whether the slices follow one another and cover the cell's range.
+/// \brief Whether the slices are contiguous and cover the cell's range.
 [[nodiscard]] bool coversWithoutGaps(const CellRecord &record);
 
 } // namespace yuccaspan::impl
--- a/src/placement/slice_run.cpp
+++ b/src/placement/slice_run.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-bool isInForce(const Hold &hold, bool earlierLapsed, TimePoint now)
+bool isInForce(const Hold &hold, bool earlierTermsExpired, TimePoint now)
 {
-    return hold.earlierTerm ? !earlierLapsed : hold.until > now;
+    return hold.earlierTerm ? !earlierTermsExpired : hold.until > now;
 }
 
 } // namespace
 
-bool SliceRun::isHeldByOthers(const TargetId &target, bool earlierLapsed, TimePoint now) const
+bool SliceRun::isHeldByOthers(const TargetId &target, bool earlierTermsExpired, TimePoint now) const
 {
     return std::ranges::any_of(holds, [&](const Hold &hold) {
-        return hold.target != target && isInForce(hold, earlierLapsed, now);
+        return hold.target != target && isInForce(hold, earlierTermsExpired, now);
     });
 }
 
@@ -38,9 +38,10 @@
     });
 }
 
-void SliceRun::forgetLapsed(bool earlierLapsed, TimePoint now)
+void SliceRun::removeExpired(bool earlierTermsExpired, TimePoint now)
 {
-    std::erase_if(holds, [&](const Hold &hold) { return !isInForce(hold, earlierLapsed, now); });
+    std::erase_if(holds,
+                  [&](const Hold &hold) { return !isInForce(hold, earlierTermsExpired, now); });
 }
 
 TargetId SliceRun::grantee() const
--- a/src/placement/slice_run.hpp
+++ b/src/placement/slice_run.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief A slice as its placer handles it: its record, who may hold it, and its move.
+/// \brief State of a slice at its placer: its record, its possible holders, and its move.
 #pragma once
 
 #include "ownership/lifecycles.hpp"
@@ -12,23 +12,23 @@
 
 namespace yuccaspan::impl {
 
-/// \brief A target that may hold a slice until an instant.
+/// \brief A target that may hold a slice until a given time.
 struct Hold
 {
     TargetId target; ///< The target.
     std::string startId; ///< Start id that was granted; empty with earlierTerm.
-    TimePoint until; ///< The instant on the placer's clock; unused with earlierTerm.
-    bool earlierTerm = false; ///< Granted in an earlier term: lasts until those have lapsed.
+    TimePoint until; ///< Expiry on the placer's clock; unused with earlierTerm.
+    bool earlierTerm = false; ///< Granted in an earlier term; lasts until those expire.
 };
 
-/// \brief A move under way.
+/// \brief A move in progress.
 struct Move
 {
-    MoveLifecycle life; ///< How far it has come.
+    MoveLifecycle life; ///< State of the move.
     TargetId to; ///< The next owner.
-    std::string why; ///< Said in the log.
-    std::uint64_t heldSince = 0; ///< Route sequence since which entries hold the slice.
-    TimePoint since; ///< When it entered its state.
+    std::string why; ///< Reason, for the log.
+    std::uint64_t heldSince = 0; ///< First route sequence in which the slice is held.
+    TimePoint since; ///< When the move entered its state.
     bool opened = false; ///< Whether the next owner confirmed.
 };
 
@@ -40,17 +40,17 @@
     std::optional<Move> move; ///< Its move, if any.
 
     /// \brief Whether a target other than `target` may hold the slice.
-    /// \param target The target that is to hold it.
-    /// \param earlierLapsed Whether earlier terms have lapsed.
+    /// \param target The target that should hold it.
+    /// \param earlierTermsExpired Whether earlier terms have expired.
     /// \param now The current time.
-    [[nodiscard]] bool isHeldByOthers(const TargetId &target, bool earlierLapsed,
+    [[nodiscard]] bool isHeldByOthers(const TargetId &target, bool earlierTermsExpired,
                                       TimePoint now) const;
-    /// \brief Notes that a target was sent a grant.
+    /// \brief Records that a grant was sent to a target.
     void extend(const TargetId &target, const std::string &startId, TimePoint until);
     /// \brief Notes that a target gave the slice back.
     void release(const TargetId &target, const std::string &startId);
     /// \brief Forgets holds that have ended.
-    void forgetLapsed(bool earlierLapsed, TimePoint now);
+    void removeExpired(bool earlierTermsExpired, TimePoint now);
     /// \brief The target that is granted the slice at this point, or an empty id.
     [[nodiscard]] TargetId grantee() const;
     /// \brief The token that goes with grantee().
--- a/tests/placement/test_entry_view.cpp
+++ b/tests/placement/test_entry_view.cpp
@@ -98,14 +98,14 @@
             if (random() % 8 == 0)
                 continue;
             if (const auto *ack = std::get_if<RouteAck>(&envelope.message)) {
-                publisher->acknowledged(envelope.from, *ack, now);
+                publisher->onAcknowledged(envelope.from, *ack, now);
                 continue;
             }
             const auto &update = std::get<RouteUpdate>(envelope.message);
             const bool isNewTerm = update.term > naive.present().first;
             if (update.full || (!isNewTerm && update.baseSequence <= naive.present().second))
                 naive.delivered(update);
-            view.updated(entry, envelope.from, update, now);
+            view.onUpdate(entry, envelope.from, update, now);
             for (const PlacementAction &action : entry.actions) {
                 const auto *send = std::get_if<SendPeerAction>(&action);
                 if (send == nullptr)
@@ -127,7 +127,7 @@
     record.term = {3};
     record.slices = {{{0, 9}, TargetId("a"), {1}, SlicePhase::Settled, {}, {}},
                      {{10, ~0ULL}, TargetId("a"), {2}, SlicePhase::Moving, TargetId("b"), {3}}};
-    view.observedRecord(entry, record, TimePoint(milliseconds(1)));
+    view.onRecordObserved(entry, record, TimePoint(milliseconds(1)));
     ASSERT_EQ(entry.actions.size(), 1U);
     const auto &routes = *std::get<RoutesAction>(entry.actions[0]).routes;
     EXPECT_EQ(routes.viewLeaseEnd, TimePoint());
@@ -138,7 +138,7 @@
     older.term = {2};
     older.routes = {{{}, TargetId("old"), {1}, RouteState::Open}};
     entry.actions.clear();
-    view.updated(entry, placerId, older, TimePoint(milliseconds(2)));
+    view.onUpdate(entry, placerId, older, TimePoint(milliseconds(2)));
     EXPECT_TRUE(entry.actions.empty());
 }
 
