Reword comments of the placement headers

Doc comments of cell_record, peer_message, placement and route_table in plain terms. The comment of RouteTable::without named a predicate; it takes a service name.

--- a/include/yuccaspan/cell_record.hpp
+++ b/include/yuccaspan/cell_record.hpp
@@ -25,12 +25,12 @@
 /// \brief Largest record that is committed, in bytes; the store holds up to a megabyte.
 inline constexpr std::size_t maxCellRecordBytes = 1000000;
 
-/// \brief Names a cell.
+/// \brief Identifies a cell.
 struct CellId
 {
     ServiceName service; ///< The service.
     ZoneId zone; ///< The home zone.
-    std::uint32_t index = 0; ///< Counts the cells of a service in one zone, from 0.
+    std::uint32_t index = 0; ///< Index among the service's cells in one zone, from 0.
 
     /// \brief Path of the record in the store.
     [[nodiscard]] std::string path() const;
@@ -43,7 +43,7 @@
     }
 };
 
-/// \brief How far a change of a slice's owner has come in the record.
+/// \brief Recorded state of a slice's ownership.
 enum class SlicePhase {
     Settled, ///< The owner holds the slice.
     Moving, ///< An intent: the owner or the next owner may hold the slice.
@@ -65,7 +65,7 @@
     TargetId owner; ///< Its owner; empty if it has none yet.
     FencingToken token; ///< Token of the owner's grant.
     SlicePhase phase = SlicePhase::Settled; ///< Whether a move is under way.
-    TargetId nextOwner; ///< With Moving: the owner to be.
+    TargetId nextOwner; ///< With Moving: the next owner.
     FencingToken nextToken; ///< With Moving: the token reserved for the next owner.
 
     [[nodiscard]] friend bool operator==(const SliceRecord &, const SliceRecord &) = default;
@@ -79,7 +79,7 @@
     Term term; ///< Changes with the placer.
     InstanceId placer; ///< The only instance that may act under the term.
     std::vector<InstanceId> candidates; ///< Instances that may take over; includes the placer.
-    FencingToken lastToken; ///< Highest token ever handed out in the cell.
+    FencingToken lastToken; ///< Highest token ever issued in the cell.
     ObjectVersion settingsVersion; ///< Settings version that the record was last checked against.
     std::vector<SliceRecord> slices; ///< In the order of their ranges, without gaps.
 
--- a/include/yuccaspan/peer_message.hpp
+++ b/include/yuccaspan/peer_message.hpp
@@ -20,7 +20,7 @@
 
 namespace yuccaspan {
 
-/// \brief What an instance tells the others of itself at regular intervals.
+/// \brief State that an instance sends to the others at regular intervals.
 struct Heartbeat
 {
     ZoneId zone; ///< Availability zone of the sender.
@@ -113,7 +113,7 @@
     [[nodiscard]] friend bool operator==(const SliceLoad &, const SliceLoad &) = default;
 };
 
-/// \brief What an entry instance observed of one target.
+/// \brief Measurements of one target by an entry instance.
 struct TargetObservation
 {
     TargetId target; ///< Which target.
@@ -125,7 +125,7 @@
                                          const TargetObservation &) = default;
 };
 
-/// \brief An entry instance tells a cell's placer what it measured.
+/// \brief Measurements that an entry instance sends to a cell's placer.
 struct LoadReport
 {
     CellId cell; ///< Which cell.
@@ -136,7 +136,7 @@
     [[nodiscard]] friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
-/// \brief An instance asks another for what it missed while the store is down.
+/// \brief Requests state that the sender missed while the store is down.
 struct StateRequest
 {
     ObjectVersion settingsVersion; ///< Settings in force at the sender.
--- a/include/yuccaspan/placement.hpp
+++ b/include/yuccaspan/placement.hpp
@@ -66,7 +66,7 @@
     bool alive = false; ///< Whether its heartbeats arrive.
     bool leaving = false; ///< Whether it is stopping.
     bool knownToStore = false; ///< Whether the platform's list shows it.
-    std::vector<InstanceId> hears; ///< Whom it said it hears.
+    std::vector<InstanceId> hears; ///< Instances that it reports hearing from.
 
     [[nodiscard]] friend bool operator==(const Member &, const Member &) = default;
 };
@@ -148,16 +148,16 @@
     std::vector<LoadReport> reports; ///< One for each cell with load.
 };
 
-/// \brief An operator or the balancer asks for a move.
+/// \brief An operator or the balancer requests a move.
 struct MoveRequestEvent
 {
     CellId cell; ///< Which cell.
     KeyRange range; ///< Which slice.
     TargetId to; ///< The next owner.
-    std::string why; ///< Said in the log.
+    std::string why; ///< Reason, for the log.
 };
 
-/// \brief The balancer asks to cut a slice in two.
+/// \brief The balancer requests to split a slice.
 struct SplitRequestEvent
 {
     CellId cell; ///< Which cell.
@@ -165,7 +165,7 @@
     KeyHash secondFirst = 0; ///< First hash of the upper part.
 };
 
-/// \brief The balancer asks to join two neighbouring slices of one owner.
+/// \brief The balancer requests to merge two adjacent slices of one owner.
 struct MergeRequestEvent
 {
     CellId cell; ///< Which cell.
@@ -267,7 +267,7 @@
     std::uint32_t maxConcurrentMoves = 8; ///< Moves under way in a cell.
 };
 
-/// \brief Who this instance is.
+/// \brief Identity of this instance.
 struct PlacementSelf
 {
     InstanceId id; ///< Name with start id.
@@ -297,10 +297,10 @@
     PlacementNode &operator=(const PlacementNode &) = delete;
     virtual ~PlacementNode() = default;
 
-    /// \brief Takes one event.
+    /// \brief Handles one event.
     /// \param event The event.
     /// \param now The current time; never lower than in an earlier call.
-    /// \returns What to do, in order.
+    /// \returns Actions to carry out, in order.
     [[nodiscard]] virtual PlacementActions handle(const PlacementEvent &event, TimePoint now) = 0;
 
     /// \brief Describes the cells that this instance knows.
@@ -312,9 +312,9 @@
 };
 
 /// \brief Creates the placement core.
-/// \param self Who this instance is.
+/// \param self Identity of this instance.
 /// \param timing Timing of the protocol.
-/// \returns The core, or InvalidArgument if the timing cannot keep the protocol's promises.
+/// \returns The core, or InvalidArgument if the timing violates the protocol's constraints.
 [[nodiscard]] Result<std::unique_ptr<PlacementNode>> makePlacementNode(PlacementSelf self,
                                                                        PlacementTiming timing);
 
--- a/include/yuccaspan/route_table.hpp
+++ b/include/yuccaspan/route_table.hpp
@@ -65,7 +65,7 @@
     /// \param cell The new routes of the cell.
     [[nodiscard]] std::shared_ptr<const RouteTable>
     with(std::shared_ptr<const CellRoutes> cell) const;
-    /// \brief A copy without the cells of services that the predicate does not keep.
+    /// \brief A copy without the cells of one service.
     [[nodiscard]] std::shared_ptr<const RouteTable> without(const ServiceName &service) const;
     /// @}
 
