--- a/include/yuccaspan/peer_message.hpp
+++ b/include/yuccaspan/peer_message.hpp
@@ -40,7 +40,7 @@
     CellId cell; ///< Which cell.
     Term term; ///< Term of the placer.
     std::uint64_t sequence = 0; ///< Matches the answer to the request.
-    Duration duration{}; ///< For how long, counted by the asker from sending.
+    Duration duration{}; ///< Duration of the promise; the placer counts it from sending.
 
     [[nodiscard]] friend bool operator==(const PromiseRequest &, const PromiseRequest &) = default;
 };
--- a/include/yuccaspan/target_order.hpp
+++ b/include/yuccaspan/target_order.hpp
@@ -24,24 +24,24 @@
     [[nodiscard]] friend bool operator==(const GrantedSlice &, const GrantedSlice &) = default;
 };
 
-/// \brief Grants all slices of one cell that the target is to hold, or renews them.
+/// \brief Grants or renews all slices of one cell that the target shall hold.
 ///
-/// The expiry is given on the target's own clock, computed from a reading that the target returned
-/// earlier, so that no clocks need to agree and a late order is refused.
+/// The expiry is a time of the target's own clock, computed from a reading that the target returned
+/// earlier. No clocks need to be synchronised, and the target refuses a late order.
 struct GrantOrder
 {
     CellId cell; ///< Which cell.
     Term term; ///< Term of the placer.
     std::uint64_t sequence = 0; ///< Grows with each order in the term; lower ones are refused.
-    std::string startId; ///< Start id the target must still have.
+    std::string startId; ///< Start id that the target must still have.
     Duration validUntil{}; ///< Expiry on the target's clock, since its own origin.
     std::uint64_t setVersion = 0; ///< Version of the set of slices.
     bool full =
-        true; ///< Whether `slices` holds the set; otherwise the set known by version stands.
+        true; ///< Whether `slices` has the set; if not, the set that has this version is renewed.
     std::vector<GrantedSlice> slices; ///< The set.
 };
 
-/// \brief Takes one slice back. Acknowledged once no request for it is running.
+/// \brief Revokes one slice. Acknowledged when no request for it is in flight any more.
 struct RevokeOrder
 {
     CellId cell; ///< Which cell.
@@ -49,7 +49,7 @@
     std::uint64_t sequence = 0; ///< As in GrantOrder.
     std::string startId; ///< As in GrantOrder.
     KeyRange range; ///< The slice.
-    FencingToken token; ///< Grants with this token or a lower one end.
+    FencingToken token; ///< Revokes grants with this token or a lower one.
 };
 
 /// \brief Asks for the target's clock, start id and state; changes nothing.
@@ -64,8 +64,8 @@
 /// \brief How a target answered an order.
 enum class TargetVerdict {
     Accepted, ///< The order is in force.
-    Refused, ///< The order was too late, too old, or for another start id.
-    NeedFull, ///< The target does not know the set; send it in full.
+    Refused, ///< The order was expired, superseded, or for another start id.
+    NeedFull, ///< The target does not have the set; it must be sent in full.
     NoAnswer, ///< No answer came; the order may or may not be in force.
 };
 
@@ -82,9 +82,9 @@
 
 /// \brief How a target describes itself.
 enum class TargetState {
-    Cold, ///< Has just started and bears little.
-    Warm, ///< Bears its full load.
-    Draining, ///< Is leaving.
+    Cold, ///< Started recently; can take little load.
+    Warm, ///< Can take its full load.
+    Draining, ///< Is shutting down.
 };
 
 template <>
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -10,10 +10,10 @@
     auto copy = std::make_shared<RouteTable>(*this);
     ServiceCells &cells = copy->m_cells[cell->cell.service];
     std::erase_if(cells, [&](const auto &other) { return other->cell == cell->cell; });
-    const auto before = [](const auto &left, const auto &right) {
+    const auto startsBefore = [](const auto &left, const auto &right) {
         return left->range.first < right->range.first;
     };
-    cells.insert(std::upper_bound(cells.begin(), cells.end(), cell, before), cell);
+    cells.insert(std::upper_bound(cells.begin(), cells.end(), cell, startsBefore), cell);
     return copy;
 }
 
--- a/tests/base/test_route_table.cpp
+++ b/tests/base/test_route_table.cpp
@@ -15,7 +15,7 @@
     return cell;
 }
 
-TEST(RouteTable, FindsTheSliceThatCoversTheHash)
+TEST(RouteTable, FindsTheRouteThatCoversTheHash)
 {
     constexpr KeyHash half = 1ULL << 63U;
     const RouteTable empty;
@@ -49,7 +49,7 @@
     EXPECT_EQ(clock.now() - start, Duration(5000));
 }
 
-TEST(Outcome, HasANameForEveryReason)
+TEST(Outcome, ConvertsOutcomesAndReasonsToAndFromText)
 {
     EXPECT_EQ(toString(Outcome::NotRun), "not-run");
     EXPECT_EQ(fromString<Reason>("queue-full"), Reason::QueueFull);
--- a/tests/placement/cluster.cpp
+++ b/tests/placement/cluster.cpp
@@ -40,7 +40,7 @@
             }
             if (best != nullptr) {
                 ++count[best->id];
-                changes.push_back(PlannedMove{slice.range, best->id, "its owner is not usable"});
+                changes.push_back(PlannedMove{slice.range, best->id, "owner is not usable"});
             }
         }
         return changes;
@@ -129,8 +129,9 @@
     return TimePoint(m_nodes[index].clock.at(m_now));
 }
 
-// Work of a paused instance waits until it goes on; that of an ended one is dropped.
-void Cluster::toInstance(int index, int start, std::function<void()> work)
+// Work for a paused instance is queued until it resumes; work for one that ended is
+// dropped.
+void Cluster::runOnInstance(int index, int start, std::function<void()> work)
 {
     Instance &instance = m_nodes[index];
     if (!instance.up || instance.start != start)
@@ -156,12 +157,12 @@
                                              simplePolicy(), m_plan.mutation)
                                   .value());
     instance.membership = Membership::create(idOf(index), instance.zone, {}).value();
-    note("start " + idOf(index).text());
+    appendTrace("start " + idOf(index).text());
     handle(index, SettingsEvent{m_settings});
     const int start = instance.start;
     schedule(microseconds(draw(40000)), [=, this] { tick(index, start); });
-    list(index);
-    // The addresses of its peers are in the settings of an instance, so it can reach them at once.
+    listInstances(index);
+    // An instance has the addresses of its peers in its settings, so it can reach them immediately.
     for (int other = 0; other < static_cast<int>(m_nodes.size()); ++other) {
         if (other != index && m_nodes[other].up)
             sendPeer(index, idOf(other), firstHeartbeat(instance.zone));
@@ -172,7 +173,7 @@
 
 void Cluster::kill(int index)
 {
-    note("kill " + idOf(index).text());
+    appendTrace("kill " + idOf(index).text());
     m_nodes[index].up = false;
     m_nodes[index].core.reset();
     m_nodes[index].paths.clear();
@@ -180,14 +181,14 @@
 
 void Cluster::pause(int index, Duration length)
 {
-    note("pause " + idOf(index).text() + " for " + std::to_string(length.count() / 1000));
+    appendTrace("pause " + idOf(index).text() + " for " + std::to_string(length.count() / 1000));
     m_nodes[index].pausedUntil = m_now + length;
     const int start = m_nodes[index].start;
     schedule(length, [=, this] {
         Instance &instance = m_nodes[index];
         if (!instance.up || instance.start != start || instance.pausedUntil > m_now)
             return;
-        note("resume " + idOf(index).text());
+        appendTrace("resume " + idOf(index).text());
         handle(index, ClockJumpEvent{length});
         instance.membership->clockJumped(localNow(index));
         while (!instance.backlog.empty() && instance.up) {
@@ -207,18 +208,18 @@
 
 void Cluster::tick(int index, int start)
 {
-    toInstance(index, start, [=, this] {
+    runOnInstance(index, start, [=, this] {
         Instance &instance = m_nodes[index];
         schedule(tickInterval, [=, this] { tick(index, start); });
         MembershipStatus status;
-        membershipOutput(index, instance.membership->tick(status, localNow(index)));
+        applyMembershipOutput(index, instance.membership->tick(status, localNow(index)));
         if (draw(8) == 0)
-            list(index);
+            listInstances(index);
         handle(index, TickEvent{});
     });
 }
 
-void Cluster::list(int index)
+void Cluster::listInstances(int index)
 {
     if (!reachesStore(index))
         return;
@@ -229,13 +230,13 @@
     }
     const int start = m_nodes[index].start;
     schedule(milliseconds(2 + draw(400)), [=, this] {
-        toInstance(index, start, [=, this] {
-            membershipOutput(index, m_nodes[index].membership->listed(list, localNow(index)));
+        runOnInstance(index, start, [=, this] {
+            applyMembershipOutput(index, m_nodes[index].membership->listed(list, localNow(index)));
         });
     });
 }
 
-void Cluster::membershipOutput(int index, MembershipOutput output)
+void Cluster::applyMembershipOutput(int index, MembershipOutput output)
 {
     if (output.members)
         handle(index, *output.members);
@@ -248,13 +249,13 @@
     if (!m_violation.empty())
         return;
     for (PlacementAction &action : m_nodes[index].core->handle(event, localNow(index)))
-        carryOut(index, std::move(action));
+        execute(index, std::move(action));
 }
 
-void Cluster::carryOut(int index, PlacementAction action)
+void Cluster::execute(int index, PlacementAction action)
 {
     if (auto *log = std::get_if<LogAction>(&action))
-        note(idOf(index).text() + " " + log->part + ": " + log->text);
+        appendTrace(idOf(index).text() + " " + log->part + ": " + log->text);
     else if (auto *send = std::get_if<SendPeerAction>(&action))
         sendPeer(index, send->to, std::move(send->message));
     else if (auto *order = std::get_if<SendOrderAction>(&action))
@@ -264,7 +265,7 @@
     else if (auto *reading = std::get_if<ReadAction>(&action))
         readObject(index, *reading);
     else if (auto *routes = std::get_if<RoutesAction>(&action))
-        newRoutes(index, *routes);
+        installRoutes(index, *routes);
 }
 
 Duration Cluster::linkDelay()
@@ -288,11 +289,11 @@
             const int index = findInstance(to);
             if (index < 0 || isCut(fromZone, m_nodes[index].zoneIndex))
                 return;
-            toInstance(index, m_nodes[index].start, [=, this] {
+            runOnInstance(index, m_nodes[index].start, [=, this] {
                 if (const auto *beat = std::get_if<Heartbeat>(&envelope->message))
-                    membershipOutput(index,
-                                     m_nodes[index].membership->received(envelope->from, *beat,
-                                                                         localNow(index)));
+                    applyMembershipOutput(index,
+                                          m_nodes[index].membership->received(envelope->from, *beat,
+                                                                              localNow(index)));
                 else
                     handle(index, PeerEvent{*envelope});
             });
@@ -308,40 +309,40 @@
     const int target = static_cast<int>(found - m_targets.begin());
     const int targetZone = std::stoi(found->zone.text().substr(1));
     const int fromZone = m_nodes[index].zoneIndex;
-    const auto answerWith = [=, this](Duration delay, const TargetAnswer &answer) {
+    const auto scheduleAnswer = [=, this](Duration delay, const TargetAnswer &answer) {
         schedule(delay, [=, this] {
-            toInstance(index, start, [=, this] {
+            runOnInstance(index, start, [=, this] {
                 handle(index, TargetAnswerEvent{action.target, answer});
             });
         });
     };
-    TargetAnswer none;
-    none.orderId = action.orderId;
-    answerWith(milliseconds(150), none);
+    TargetAnswer noAnswer;
+    noAnswer.orderId = action.orderId;
+    scheduleAnswer(milliseconds(150), noAnswer);
     if (chance(m_plan.loss) || isCut(fromZone, targetZone))
         return;
-    const auto arrive = std::make_shared<std::function<void()>>();
-    *arrive = [=, this, self = std::weak_ptr(arrive)] {
+    const auto deliver = std::make_shared<std::function<void()>>();
+    *deliver = [=, this, self = std::weak_ptr(deliver)] {
         FakeTarget &receiver = m_targets[target];
         if (!receiver.up)
             return;
         if (receiver.frozenUntil > m_now) {
-            schedule(receiver.frozenUntil - m_now, [again = self.lock()] { (*again)(); });
+            schedule(receiver.frozenUntil - m_now, [retry = self.lock()] { (*retry)(); });
             return;
         }
-        const TargetAnswer answer = receiver.take(action.orderId, action.order, m_now);
+        const TargetAnswer answer = receiver.applyOrder(action.orderId, action.order, m_now);
         checkGrants();
         if (!chance(m_plan.loss) && !isCut(fromZone, targetZone))
-            answerWith(linkDelay(), answer);
+            scheduleAnswer(linkDelay(), answer);
     };
-    schedule(linkDelay(), [arrive] { (*arrive)(); });
+    schedule(linkDelay(), [deliver] { (*deliver)(); });
     if (chance(0.01))
-        schedule(linkDelay(), [arrive] { (*arrive)(); });
+        schedule(linkDelay(), [deliver] { (*deliver)(); });
 }
 
-// The fake data path has a request in flight on every open slice, which ends a little after the
-// slice is held, or with the view lease.
-void Cluster::newRoutes(int index, const RoutesAction &action)
+// The fake data path always has a request in flight on every open slice. The request ends
+// requestLength after the route changes, or with the view lease if that is earlier.
+void Cluster::installRoutes(int index, const RoutesAction &action)
 {
     DataPath &path = m_nodes[index].paths[action.routes->cell];
     const TimePoint now = localNow(index);
@@ -364,13 +365,13 @@
         const auto route = std::ranges::find(path.routes->routes, range, &Route::range);
         reportIdle(index, m_nodes[index].start, {action.routes->cell, range, route->token});
     }
-    checkUnchecked();
+    checkUncheckedTargets();
 }
 
 void Cluster::reportIdle(int index, int start, const SliceIdleEvent &event)
 {
     schedule(milliseconds(1), [=, this] {
-        toInstance(index, start, [=, this] {
+        runOnInstance(index, start, [=, this] {
             const DataPath &path = m_nodes[index].paths[event.cell];
             const bool isHeld = std::ranges::any_of(path.routes->routes, [&](const Route &route) {
                 return route.range == event.range && route.token == event.token
@@ -396,7 +397,7 @@
     for (int i = 0; i < static_cast<int>(m_nodes.size()); ++i) {
         const int start = m_nodes[i].start;
         schedule(milliseconds(draw(500)), [=, this] {
-            toInstance(i, start, [=, this] { handle(i, SettingsEvent{settings}); });
+            runOnInstance(i, start, [=, this] { handle(i, SettingsEvent{settings}); });
         });
     }
 }
@@ -432,7 +433,7 @@
     return text;
 }
 
-void Cluster::note(const std::string &line)
+void Cluster::appendTrace(const std::string &line)
 {
     m_trace.push_back(std::to_string(m_now.count()) + " " + line);
     if (m_trace.size() > traceLength)
--- a/tests/placement/cluster.hpp
+++ b/tests/placement/cluster.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// \brief Several placement cores with fake store, network, targets and data paths, in virtual
-/// time.
+/// \brief Runs several placement cores with a fake store, network, targets and data paths in
+/// virtual time.
 #pragma once
 
 #include "fake_target.hpp"
@@ -17,7 +17,7 @@
 
 namespace yuccaspan::test {
 
-/// \brief What a schedule is made of.
+/// \brief Parameters of a schedule.
 struct ClusterPlan
 {
     std::uint64_t seed = 1;
@@ -26,15 +26,15 @@
     int targetsPerZone = 2;
     int slicesPerTarget = 2;
     CutOffPolicy policy = CutOffPolicy::Move;
-    bool uncheckedTargets = false; ///< Every second target does not check grants.
-    double loss = 0.02; ///< Share of messages lost.
-    double drift = 0.001; ///< Largest deviation of a clock's rate is half of this.
+    bool uncheckedTargets = false; ///< Whether every second target does not check grants.
+    double loss = 0.02; ///< Share of messages that are lost.
+    double drift = 0.001; ///< Twice the largest deviation of a clock's rate.
     impl::ProtocolMutation mutation = impl::ProtocolMutation::None;
-    Duration requestLength = std::chrono::milliseconds(30); ///< Of requests in flight.
-    bool lateGrants = false; ///< Targets accept orders past their expiry.
+    Duration requestLength = std::chrono::milliseconds(30); ///< Duration of requests in flight.
+    bool lateGrants = false; ///< Whether targets accept expired grants.
 };
 
-/// \brief What a step of a schedule does, at a place drawn at random.
+/// \brief Faults and requests of a schedule, each on a randomly drawn instance, target or zone.
 enum class Fault {
     KillInstance,
     RestartInstance,
@@ -58,10 +58,10 @@
 
     /// \name Running
     /// @{
-    void run(Duration length); ///< Until then, or until an invariant is broken.
-    bool runUntilServing(Duration limit); ///< Until every key is served at every instance.
-    void faultStep(Fault fault); ///< Starts or ends a fault at a random place.
-    void heal(); ///< Ends all faults; dead instances come back with a new start id.
+    void run(Duration length); ///< Stops early when an invariant is violated.
+    bool runUntilServing(Duration limit); ///< Until every instance can reach every key.
+    void faultStep(Fault fault); ///< Starts or ends a fault on a randomly drawn part.
+    void endAllFaults(); ///< Also restarts dead instances, under a new start id.
     /// @}
 
     /// \name Faults
@@ -72,10 +72,10 @@
     void cutZone(int zone, bool cut) { m_zoneCut[zone] = cut; }
     void cutStore(int instance, bool cut) { m_nodes[instance].storeCut = cut; }
     void setStoreUp(bool up) { m_storeUp = up; }
-    void loseWriteAnswers(int count) { m_loseAnswers = count; }
+    void loseWriteAnswers(int count) { m_answersToLose = count; }
     void applySettings(const std::function<void(Settings &)> &change);
     void requestMove(std::uint64_t pick);
-    void requestShapeChange(std::uint64_t pick);
+    void requestSplitOrMerge(std::uint64_t pick);
     void leave(int instance);
     /// @}
 
@@ -83,14 +83,15 @@
     /// @{
     [[nodiscard]] const std::string &violation() const { return m_violation; }
     [[nodiscard]] std::string trace() const;
-    [[nodiscard]] bool isServing(std::string *why = nullptr) const;
+    [[nodiscard]] bool isServing(std::string *reason = nullptr) const;
     [[nodiscard]] FakeTarget &target(int index) { return m_targets[index]; }
     [[nodiscard]] PlacementNode *node(int index) { return m_nodes[index].core.get(); }
     [[nodiscard]] TimePoint localNow(int index) const;
-    [[nodiscard]] int placerOf(const CellId &cell) const; ///< -1 if nobody places it.
+    [[nodiscard]] int
+    placerOf(const CellId &cell) const; ///< -1 if the cell has no placer with authority.
     [[nodiscard]] std::vector<CellRecord> records() const;
     [[nodiscard]] std::uint64_t storeWrites() const { return m_storeWrites; }
-    [[nodiscard]] bool isAnyHeld() const; ///< Whether an instance holds requests for a slice.
+    [[nodiscard]] bool isAnySliceHeld() const; ///< Whether an instance holds requests for a slice.
     [[nodiscard]] std::uint64_t storeReads() const { return m_storeReads; }
     [[nodiscard]] Duration now() const { return m_now; }
     [[nodiscard]] bool mayStop(int instance) const { return m_nodes[instance].core->mayStop(); }
@@ -137,11 +138,11 @@
     };
 
     void schedule(Duration delay, std::function<void()> work);
-    void toInstance(int index, int start, std::function<void()> work);
+    void runOnInstance(int index, int start, std::function<void()> work);
     void tick(int index, int start);
     void handle(int index, const PlacementEvent &event);
-    void carryOut(int index, PlacementAction action);
-    void membershipOutput(int index, MembershipOutput output);
+    void execute(int index, PlacementAction action);
+    void applyMembershipOutput(int index, MembershipOutput output);
     void sendPeer(int from, const InstanceId &to, PeerMessage message);
     void sendOrder(int index, const SendOrderAction &action);
     void write(int index, const WriteAction &action);
@@ -149,9 +150,9 @@
     void readObject(int index, const ReadAction &action);
     void notifyWatchers(const std::string &path);
     void watch(int index, int start, const std::string &path);
-    void newRoutes(int index, const RoutesAction &action);
+    void installRoutes(int index, const RoutesAction &action);
     void reportIdle(int index, int start, const SliceIdleEvent &event);
-    void list(int index);
+    void listInstances(int index);
     [[nodiscard]] bool reachesStore(int index) const;
     [[nodiscard]] bool isCut(int zoneA, int zoneB) const;
     [[nodiscard]] Duration linkDelay();
@@ -159,15 +160,15 @@
     [[nodiscard]] InstanceId idOf(int index) const;
     [[nodiscard]] bool chance(double share);
     [[nodiscard]] std::uint64_t draw(std::uint64_t below);
-    [[nodiscard]] TargetId userOf(const Instance &instance, const DataPath &path,
-                                  KeyHash hash) const;
+    [[nodiscard]] TargetId uncheckedTargetInUse(const Instance &instance, const DataPath &path,
+                                                KeyHash hash) const;
 
     void checkWrite(const std::string &path, const std::string &before, const std::string &after);
     void checkGrants();
-    void checkUnchecked();
+    void checkUncheckedTargets();
     void checkOrder(int index, const SendOrderAction &action);
     void fail(const std::string &what);
-    void note(const std::string &line);
+    void appendTrace(const std::string &line);
 
     ClusterPlan m_plan;
     std::mt19937_64 m_random;
@@ -182,13 +183,13 @@
     std::uint64_t m_storeWrites = 0;
     std::uint64_t m_storeReads = 0;
     bool m_storeUp = true;
-    int m_loseAnswers = 0;
+    int m_answersToLose = 0;
     std::shared_ptr<const Settings> m_settings;
     std::string m_violation;
     std::deque<std::string> m_trace;
 };
 
-/// \brief A small balancer: moves slices off targets that are not usable, one plan at a time.
+/// \brief A policy whose balancer only moves slices off unusable targets.
 [[nodiscard]] impl::PlacementPolicy simplePolicy();
 
 } // namespace yuccaspan::test
--- a/tests/placement/cluster_checks.cpp
+++ b/tests/placement/cluster_checks.cpp
@@ -1,4 +1,4 @@
-// Faults, invariants and liveness of the cluster under test.
+// Faults, invariants and the liveness check of the cluster under test.
 #include "cluster.hpp"
 
 #include <algorithm>
@@ -13,7 +13,7 @@
     if (!m_violation.empty())
         return;
     m_violation = what;
-    note("VIOLATION: " + what);
+    appendTrace("VIOLATION: " + what);
 }
 
 // At most one target has an unexpired grant for a key.
@@ -25,7 +25,7 @@
         if (!target.up)
             continue;
         held.clear();
-        target.holdings(m_now, held);
+        target.appendHeldSlices(m_now, held);
         for (const GrantedSlice &slice : held)
             all.emplace_back(slice.range, &target);
     }
@@ -35,7 +35,7 @@
     for (const auto &[range, target] : all) {
         if (owner != nullptr && range.first <= highest && owner != target)
             fail("targets " + owner->id.text() + " and " + target->id.text()
-                 + " hold grants for one key");
+                 + " hold grants for the same key");
         if (owner == nullptr || range.last >= highest) {
             highest = range.last;
             owner = target;
@@ -43,7 +43,8 @@
     }
 }
 
-TargetId Cluster::userOf(const Instance &instance, const DataPath &path, KeyHash hash) const
+TargetId Cluster::uncheckedTargetInUse(const Instance &instance, const DataPath &path,
+                                       KeyHash hash) const
 {
     const TimePoint now(instance.clock.at(m_now));
     const auto isUnchecked = [&](const TargetId &id) {
@@ -64,9 +65,9 @@
     return {};
 }
 
-// No two instances may send to two targets that do not check grants, and no such target is used for
-// a key that another target holds a grant for.
-void Cluster::checkUnchecked()
+// Instances must not use different unchecked targets for the same key, nor an unchecked target
+// for a key for which another target holds a grant.
+void Cluster::checkUncheckedTargets()
 {
     if (!m_plan.uncheckedTargets || !m_violation.empty())
         return;
@@ -74,7 +75,7 @@
     for (const FakeTarget &target : m_targets) {
         std::vector<GrantedSlice> held;
         if (target.up)
-            target.holdings(m_now, held);
+            target.appendHeldSlices(m_now, held);
         for (const GrantedSlice &slice : held)
             grants.emplace_back(slice, target.id);
     }
@@ -84,13 +85,13 @@
             if (!path.routes)
                 continue;
             for (const Route &route : path.routes->routes) {
-                const TargetId user = userOf(instance, path, route.range.last);
+                const TargetId user = uncheckedTargetInUse(instance, path, route.range.last);
                 if (user.empty())
                     continue;
                 const auto [known, isNew] = users.try_emplace(route.range.last, user);
                 if (known->second != user)
                     fail("targets " + user.text() + " and " + known->second.text()
-                         + " are used for one key");
+                         + " are used for the same key");
                 for (const auto &[slice, holder] : grants) {
                     if (slice.range.contains(route.range.last))
                         fail("target " + user.text() + " is used while " + holder.text()
@@ -101,20 +102,21 @@
     }
 }
 
-// Terms and tokens only grow, and a settled owner changes only through a committed intent.
+// Terms and tokens never decrease, and a slice changes its owner only by a move whose intent was
+// committed before.
 void Cluster::checkWrite(const std::string &path, const std::string &before,
                          const std::string &after)
 {
     const auto next = decodeCellRecord(after);
     const auto old = decodeCellRecord(before);
     if (next) {
-        note("commit " + path + " term " + std::to_string(next->term.value) + " by "
-             + next->placer.text());
+        appendTrace("commit " + path + " term " + std::to_string(next->term.value) + " by "
+                    + next->placer.text());
     }
     if (!next || !old)
         return;
     if (next->term < old->term || next->lastToken < old->lastToken)
-        fail("the term or the last token of " + path + " went back");
+        fail("the term or the last token of " + path + " decreased");
     if (next->term == old->term && next->placer != old->placer)
         fail("two instances wrote " + path + " in one term");
     for (const SliceRecord &slice : next->slices) {
@@ -122,16 +124,16 @@
             if (!was.range.overlaps(slice.range))
                 continue;
             if (slice.token < was.token)
-                fail("a token went back in " + path);
+                fail("a token decreased in " + path);
             const bool isIntended = was.phase == SlicePhase::Moving && slice.owner == was.nextOwner
                 && slice.token == was.nextToken;
             if (slice.owner != was.owner && !isIntended)
-                fail("an assignment was lost in " + path);
+                fail("an owner changed without a committed move in " + path);
         }
     }
 }
 
-// No grant outlasts the authority of the placer that orders it.
+// A grant must not expire later than the authority of the placer that sends it.
 void Cluster::checkOrder(int index, const SendOrderAction &action)
 {
     const auto *grant = std::get_if<GrantOrder>(&action.order);
@@ -175,11 +177,11 @@
     return -1;
 }
 
-bool Cluster::isServing(std::string *why) const
+bool Cluster::isServing(std::string *reason) const
 {
     const auto report = [&](const std::string &text) {
-        if (why != nullptr)
-            *why = text;
+        if (reason != nullptr)
+            *reason = text;
         return false;
     };
     const std::vector<CellRecord> all = records();
@@ -191,23 +193,23 @@
         for (const CellRecord &record : all) {
             const auto path = instance.paths.find(record.cell);
             if (path == instance.paths.end() || !path->second.routes)
-                return report("no routes at " + instance.name);
+                return report("no routes at instance " + instance.name);
             for (const Route &route : path->second.routes->routes) {
                 const auto target = std::ranges::find(m_targets, route.owner, &FakeTarget::id);
                 if (route.state != RouteState::Open || target == m_targets.end())
-                    return report("not open at " + instance.name);
+                    return report("a route is not open at instance " + instance.name);
                 const bool serves = target->checks
                     ? target->serves(route.range.first, route.token, m_now)
                     : path->second.routes->viewLeaseEnd > TimePoint(instance.clock.at(m_now));
                 if (!target->up || !serves)
-                    return report("not served by " + route.owner.text());
+                    return report("a key is not served by target " + route.owner.text());
             }
         }
     }
     return true;
 }
 
-bool Cluster::isAnyHeld() const
+bool Cluster::isAnySliceHeld() const
 {
     return std::ranges::any_of(m_nodes, [](const Instance &instance) {
         return std::ranges::any_of(instance.paths, [](const auto &item) {
@@ -229,10 +231,10 @@
     const TargetId to = m_targets[pick / 97 % m_targets.size()].id;
     const int placer = placerOf(record.cell);
     if (placer >= 0 && m_nodes[placer].pausedUntil <= m_now)
-        handle(placer, MoveRequestEvent{record.cell, slice.range, to, "the test asks for it"});
+        handle(placer, MoveRequestEvent{record.cell, slice.range, to, "requested by the test"});
 }
 
-void Cluster::requestShapeChange(std::uint64_t pick)
+void Cluster::requestSplitOrMerge(std::uint64_t pick)
 {
     const std::vector<CellRecord> all = records();
     if (all.empty())
@@ -270,11 +272,11 @@
             pause(instance, milliseconds(100 + draw(2500)));
         break;
     case Fault::FreezeTarget:
-        note("freeze " + target.id.text());
+        appendTrace("freeze " + target.id.text());
         target.frozenUntil = m_now + milliseconds(100 + draw(2500));
         break;
     case Fault::ToggleTarget:
-        note("toggle " + target.id.text());
+        appendTrace("toggle " + target.id.text());
         if (target.up)
             target.up = false;
         else
@@ -282,26 +284,26 @@
         break;
     case Fault::ToggleZoneCut:
         m_zoneCut[zone] = !m_zoneCut[zone];
-        note("cut of zone " + std::to_string(zone) + " " + (m_zoneCut[zone] ? "on" : "off"));
+        appendTrace("cut of zone " + std::to_string(zone) + " " + (m_zoneCut[zone] ? "on" : "off"));
         break;
     case Fault::ToggleStore:
         m_storeUp = !m_storeUp;
-        note(m_storeUp ? "store up" : "store down");
+        appendTrace(m_storeUp ? "store up" : "store down");
         break;
     case Fault::ToggleStoreCut:
         m_nodes[instance].storeCut = !m_nodes[instance].storeCut;
-        note(std::string("store cut ") + (m_nodes[instance].storeCut ? "on " : "off ")
-             + m_nodes[instance].name);
+        appendTrace(std::string("store cut ") + (m_nodes[instance].storeCut ? "on " : "off ")
+                    + m_nodes[instance].name);
         break;
     case Fault::LoseWriteAnswers:
-        m_loseAnswers = static_cast<int>(1 + draw(3));
+        m_answersToLose = static_cast<int>(1 + draw(3));
         break;
     case Fault::ToggleZoneOut:
         applySettings(
             [&](Settings &settings) { settings.zones[zone].out = !settings.zones[zone].out; });
         break;
     case Fault::SplitOrMerge:
-        requestShapeChange(m_random());
+        requestSplitOrMerge(m_random());
         break;
     case Fault::MoveSlice:
         requestMove(m_random());
@@ -309,11 +311,11 @@
     }
 }
 
-void Cluster::heal()
+void Cluster::endAllFaults()
 {
-    note("heal");
+    appendTrace("end all faults");
     m_storeUp = true;
-    m_loseAnswers = 0;
+    m_answersToLose = 0;
     m_plan.loss = 0;
     std::fill(m_zoneCut.begin(), m_zoneCut.end(), false);
     applySettings([](Settings &settings) {
--- a/tests/placement/cluster_store.cpp
+++ b/tests/placement/cluster_store.cpp
@@ -1,4 +1,4 @@
-// The store as the instances of a cluster see it: delays, outages, lost answers, watches.
+// The fake store of a cluster, with delays, outages, lost answers and watches.
 #include "cluster.hpp"
 
 #include <algorithm>
@@ -25,22 +25,22 @@
     const bool reaches = reachesStore(index);
     if (!reaches && chance(0.5)) {
         schedule(milliseconds(2), [=, this] {
-            toInstance(index, start, [=, this] {
+            runOnInstance(index, start, [=, this] {
                 handle(index, StoreWrittenEvent{action.writeId, WriteResult::NotDone, {}});
             });
         });
         return;
     }
-    const bool isLost = !reaches || m_loseAnswers > 0;
-    if (m_loseAnswers > 0)
-        --m_loseAnswers;
-    // A write whose answer is lost may take effect at once, late, or never.
+    const bool isLost = !reaches || m_answersToLose > 0;
+    if (m_answersToLose > 0)
+        --m_answersToLose;
+    // A write whose answer is lost takes effect immediately, late, or never.
     if (!isLost) {
         schedule(linkDelay(), [=, this] { applyWrite(index, action, true); });
         return;
     }
     schedule(storeTimeout, [=, this] {
-        toInstance(index, start, [=, this] {
+        runOnInstance(index, start, [=, this] {
             handle(index, StoreWrittenEvent{action.writeId, WriteResult::Unknown, {}});
         });
     });
@@ -64,7 +64,7 @@
         action.writeId, matches ? WriteResult::Committed : WriteResult::Conflict, object.version};
     const int start = m_nodes[index].start;
     schedule(linkDelay(),
-             [=, this] { toInstance(index, start, [=, this] { handle(index, event); }); });
+             [=, this] { runOnInstance(index, start, [=, this] { handle(index, event); }); });
 }
 
 void Cluster::readObject(int index, const ReadAction &action)
@@ -79,7 +79,7 @@
         event.value = m_objects[action.path].value;
     }
     schedule(event.answered ? linkDelay() + milliseconds(draw(100)) : storeTimeout,
-             [=, this] { toInstance(index, start, [=, this] { handle(index, event); }); });
+             [=, this] { runOnInstance(index, start, [=, this] { handle(index, event); }); });
 }
 
 void Cluster::notifyWatchers(const std::string &path)
@@ -95,7 +95,7 @@
             schedule(milliseconds(200), [=, this] { watch(index, start, path); });
             return;
         }
-        toInstance(index, start, [=, this] {
+        runOnInstance(index, start, [=, this] {
             const Object &object = m_objects[path];
             if (object.version <= m_nodes[index].seenVersions[path])
                 return;
--- a/tests/placement/fake_target.hpp
+++ b/tests/placement/fake_target.hpp
@@ -25,7 +25,7 @@
     }
 };
 
-/// \brief Grants of one target, held in memory only.
+/// \brief A target that keeps its grants in memory and loses them on a restart.
 class FakeTarget
 {
 public:
@@ -33,7 +33,7 @@
     ZoneId zone;
     bool checks = true;
     bool up = true;
-    bool acceptsLateGrants = false; ///< A fault under test.
+    bool acceptsLateGrants = false; ///< Fault: accepts expired grants.
     Duration frozenUntil{};
     DriftingClock clock;
     int start = 1;
@@ -47,20 +47,20 @@
         up = true;
     }
 
-    TargetAnswer take(std::uint64_t orderId, const TargetOrder &order, Duration trueTime)
+    TargetAnswer applyOrder(std::uint64_t orderId, const TargetOrder &order, Duration trueTime)
     {
         TargetAnswer answer;
         answer.orderId = orderId;
         answer.startId = startId();
         answer.clock = clock.at(trueTime);
-        answer.verdict = std::visit([&](const auto &kind) { return run(kind, answer); }, order);
+        answer.verdict = std::visit([&](const auto &kind) { return apply(kind, answer); }, order);
         answer.knownTerm =
             std::visit([&](const auto &kind) { return m_cells[kind.cell].term; }, order);
         return answer;
     }
 
-    /// \brief Slices held at an instant, over all cells.
-    void holdings(Duration trueTime, std::vector<GrantedSlice> &list) const
+    /// \brief Appends the slices with an unexpired grant, from all cells.
+    void appendHeldSlices(Duration trueTime, std::vector<GrantedSlice> &list) const
     {
         for (const auto &[cell, state] : m_cells) {
             if (state.validUntil > clock.at(trueTime))
@@ -71,7 +71,7 @@
     [[nodiscard]] bool serves(KeyHash hash, FencingToken token, Duration trueTime) const
     {
         std::vector<GrantedSlice> held;
-        holdings(trueTime, held);
+        appendHeldSlices(trueTime, held);
         return std::ranges::any_of(held, [&](const GrantedSlice &slice) {
             return slice.range.contains(hash) && slice.token == token;
         });
@@ -100,7 +100,7 @@
         return false;
     }
 
-    TargetVerdict run(const GrantOrder &order, const TargetAnswer &answer)
+    TargetVerdict apply(const GrantOrder &order, const TargetAnswer &answer)
     {
         State &state = m_cells[order.cell];
         const bool isLate = order.validUntil <= answer.clock;
@@ -118,7 +118,7 @@
         return TargetVerdict::Accepted;
     }
 
-    TargetVerdict run(const RevokeOrder &order, const TargetAnswer &)
+    TargetVerdict apply(const RevokeOrder &order, const TargetAnswer &)
     {
         State &state = m_cells[order.cell];
         if (!checks || isStale(state, order.term, order.sequence, order.startId))
@@ -130,7 +130,7 @@
         return TargetVerdict::Accepted;
     }
 
-    TargetVerdict run(const ProbeOrder &order, TargetAnswer &answer)
+    TargetVerdict apply(const ProbeOrder &order, TargetAnswer &answer)
     {
         const State &state = m_cells[order.cell];
         if (state.validUntil > answer.clock)
--- a/tests/placement/test_codec.cpp
+++ b/tests/placement/test_codec.cpp
@@ -39,7 +39,7 @@
     return record;
 }
 
-RC_GTEST_PROP(CellRecordCodec, RoundTrip, (std::uint64_t seed))
+RC_GTEST_PROP(CellRecordCodec, RoundTripPreservesRecord, (std::uint64_t seed))
 {
     const CellRecord record = randomRecord(seed);
     const auto text = encodeCellRecord(record);
@@ -49,7 +49,7 @@
     RC_ASSERT(*back == record);
 }
 
-RC_GTEST_PROP(CellRecordCodec, DamagedTextIsRejectedOrConsistent, (std::uint64_t seed))
+RC_GTEST_PROP(CellRecordCodec, DamagedTextIsRejectedOrDecodesConsistently, (std::uint64_t seed))
 {
     std::mt19937_64 random(seed);
     std::string text = *encodeCellRecord(randomRecord(seed));
@@ -92,7 +92,7 @@
     EXPECT_TRUE(encodeCellRecord(record).hasValue());
 }
 
-RC_GTEST_PROP(DirectoryCodec, CoversTheKeySpace, ())
+RC_GTEST_PROP(DirectoryCodec, RoundTripPreservesPlannedCells, ())
 {
     ServiceSettings service;
     service.name = ServiceName("s");
@@ -107,7 +107,7 @@
     RC_ASSERT(planned.cells.size() == zones.size() * service.cellsPerZone);
 }
 
-TEST(Paths, AreRecognised)
+TEST(Paths, OnlyWellFormedPathsAreRecognised)
 {
     const CellId cell{ServiceName("s"), ZoneId("z"), 3};
     EXPECT_EQ(impl::cellOfPath(cell.path()), cell);
--- a/tests/placement/test_entry_view.cpp
+++ b/tests/placement/test_entry_view.cpp
@@ -51,9 +51,9 @@
     }
 }
 
-// A placer publishes by differences over a network that loses, repeats and reorders; the entry must
-// hold what a naive entry holds that gets every state whole.
-RC_GTEST_PROP(EntryView, AgreesWithNaiveRoutes, (std::uint64_t seed))
+// The placer publishes differences over a network that loses, duplicates and reorders messages. The
+// entry view must have the same routes as a naive model that receives every state in full.
+RC_GTEST_PROP(EntryView, AgreesWithNaiveModel, (std::uint64_t seed))
 {
     std::mt19937_64 random(seed);
     Context placer = makeContext(placerId);
@@ -61,14 +61,14 @@
     EntryView view(cell);
     naive::PlacementRoutes naive;
     std::vector<Route> routes{{{}, TargetId("t0"), {1}, RouteState::Open}};
-    std::vector<PeerEnvelope> wire;
+    std::vector<PeerEnvelope> messagesInFlight;
     TimePoint now(std::chrono::seconds(1));
     Term term{1};
     std::optional<RoutePublisher> publisher(std::in_place, cell, KeyRange{}, term);
     const auto collect = [&](Context &from) {
         for (const PlacementAction &action : from.actions) {
             if (const auto *send = std::get_if<SendPeerAction>(&action))
-                wire.push_back({from.self.id, send->message});
+                messagesInFlight.push_back({from.self.id, send->message});
             if (const auto *routesAction = std::get_if<RoutesAction>(&action)) {
                 const CellRoutes &got = *routesAction->routes;
                 RC_ASSERT(std::pair(got.term, got.sequence) == naive.present());
@@ -90,11 +90,12 @@
         naive.published(term, publisher->sequence(), routes);
         publisher->step(placer, now + milliseconds(random() % 2000), now);
         collect(placer);
-        while (!wire.empty() && random() % 3 != 0) {
-            const std::size_t pick = random() % wire.size();
-            const PeerEnvelope envelope = wire[pick];
+        while (!messagesInFlight.empty() && random() % 3 != 0) {
+            const std::size_t pick = random() % messagesInFlight.size();
+            const PeerEnvelope envelope = messagesInFlight[pick];
             if (random() % 10 != 0)
-                wire.erase(wire.begin() + static_cast<std::ptrdiff_t>(pick));
+                messagesInFlight.erase(messagesInFlight.begin()
+                                       + static_cast<std::ptrdiff_t>(pick));
             if (random() % 8 == 0)
                 continue;
             if (const auto *ack = std::get_if<RouteAck>(&envelope.message)) {
@@ -118,7 +119,7 @@
     }
 }
 
-TEST(EntryView, FallsBackToANewerRecordWithoutViewLease)
+TEST(EntryView, UsesANewerRecordWithoutAViewLease)
 {
     Context entry = makeContext(entryId);
     EntryView view(cell);
--- a/tests/placement/test_scenarios.cpp
+++ b/tests/placement/test_scenarios.cpp
@@ -1,4 +1,4 @@
-// Single faults at the default timing, measured in the cluster's own time.
+// Single faults with the default timing; limits are in the virtual time of the cluster.
 #include "cluster.hpp"
 
 #include <gtest/gtest.h>
@@ -9,9 +9,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration failoverLimit = seconds(2);
+constexpr Duration maxFailoverTime = seconds(2);
 
-ClusterPlan calmPlan()
+ClusterPlan faultFreePlan()
 {
     ClusterPlan plan;
     plan.zones = 3;
@@ -28,7 +28,7 @@
 
 struct Scenario : testing::Test
 {
-    void settle(Cluster &cluster)
+    void waitUntilStable(Cluster &cluster)
     {
         ASSERT_TRUE(cluster.runUntilServing(seconds(20))) << cluster.trace();
         cluster.run(seconds(5));
@@ -42,50 +42,50 @@
     }
 };
 
-TEST_F(Scenario, LostTargetIsReplacedInTime)
+TEST_F(Scenario, LostTargetFailsOverWithinLimit)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     cluster.target(0).up = false;
-    expectServedWithin(cluster, failoverLimit);
+    expectServedWithin(cluster, maxFailoverTime);
 }
 
-TEST_F(Scenario, LostPlacerAndTargetAreReplacedInTime)
+TEST_F(Scenario, LostPlacerAndTargetFailOverWithinLimit)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     cluster.kill(cluster.placerOf(firstCell()));
     cluster.target(0).up = false;
-    expectServedWithin(cluster, failoverLimit);
+    expectServedWithin(cluster, maxFailoverTime);
 }
 
-TEST_F(Scenario, LostZoneIsReplacedInTime)
+TEST_F(Scenario, LostZoneFailsOverWithinLimit)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     cluster.kill(0);
     cluster.kill(3);
     cluster.target(0).up = false;
     cluster.target(1).up = false;
-    expectServedWithin(cluster, failoverLimit);
+    expectServedWithin(cluster, maxFailoverTime);
 }
 
-TEST_F(Scenario, LostPlacerAloneClosesNothing)
+TEST_F(Scenario, LostPlacerDoesNotInterruptService)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     cluster.kill(cluster.placerOf(firstCell()));
     for (int step = 0; step < 30; ++step) {
         cluster.run(milliseconds(100));
-        std::string why;
-        EXPECT_TRUE(cluster.isServing(&why)) << why << "\n" << cluster.trace();
+        std::string reason;
+        EXPECT_TRUE(cluster.isServing(&reason)) << reason << "\n" << cluster.trace();
     }
 }
 
-TEST_F(Scenario, CalmNeedsNoStore)
+TEST_F(Scenario, HealthyClusterServesWithoutTheStore)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     const std::uint64_t writes = cluster.storeWrites();
     const std::uint64_t reads = cluster.storeReads();
     cluster.setStoreUp(false);
@@ -97,10 +97,10 @@
     EXPECT_EQ(cluster.storeReads(), reads);
 }
 
-TEST_F(Scenario, InstanceLostWhileStoreIsDownClosesNothing)
+TEST_F(Scenario, InstanceLossDuringStoreOutageKeepsThePlacer)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     const int placer = cluster.placerOf(firstCell());
     cluster.setStoreUp(false);
     cluster.kill((placer + 1) % 5);
@@ -112,10 +112,10 @@
     expectServedWithin(cluster, seconds(10));
 }
 
-TEST_F(Scenario, LeavingPlacerHandsOverWithoutClosing)
+TEST_F(Scenario, LeavingPlacerHandsOverWithoutInterruption)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     const int placer = cluster.placerOf(firstCell());
     cluster.leave(placer);
     for (int step = 0; step < 40; ++step) {
@@ -129,13 +129,13 @@
     EXPECT_TRUE(cluster.isServing()) << cluster.trace();
 }
 
-// Links take 0.3 to 2.8 ms one way here.
-TEST_F(Scenario, PlannedMoveHoldsRequestsBrieflyAndCallsNoStore)
+// The one-way delay of a link is 0.3 to 2.8 ms here.
+TEST_F(Scenario, PlannedMoveHoldsRequestsBrieflyAndWritesAtMostOnce)
 {
-    ClusterPlan plan = calmPlan();
+    ClusterPlan plan = faultFreePlan();
     plan.requestLength = milliseconds(1);
     Cluster cluster(plan);
-    settle(cluster);
+    waitUntilStable(cluster);
     int moves = 0;
     for (std::uint64_t pick = 0; pick < 200; ++pick) {
         cluster.requestMove(pick * 7919);
@@ -143,11 +143,12 @@
         std::uint64_t writesAtStart = 0;
         for (int step = 0; step < 1000; ++step) {
             cluster.run(std::chrono::microseconds(200));
-            if (!cluster.isAnyHeld())
+            if (!cluster.isAnySliceHeld())
                 continue;
             writesAtStart = held == Duration::zero() ? cluster.storeWrites() : writesAtStart;
             held += std::chrono::microseconds(200);
-            EXPECT_LE(cluster.storeWrites(), writesAtStart + 1) << "only the settled record";
+            EXPECT_LE(cluster.storeWrites(), writesAtStart + 1)
+                << "while a slice is held, only its settled record may be written";
         }
         moves += held > Duration::zero() ? 1 : 0;
         EXPECT_LE(held, milliseconds(20)) << cluster.trace();
@@ -156,10 +157,10 @@
     EXPECT_EQ(cluster.violation(), "") << cluster.trace();
 }
 
-TEST_F(Scenario, ZoneOutMovesSlicesAway)
+TEST_F(Scenario, SlicesLeaveAZoneThatIsTakenOut)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     const auto setOut = [&](bool out) {
         cluster.applySettings([&](Settings &settings) { settings.zones[0].out = out; });
     };
@@ -174,14 +175,14 @@
     EXPECT_TRUE(cluster.isServing()) << cluster.trace();
 }
 
-TEST_F(Scenario, CutOffZoneIsTakenOverUnlessItHolds)
+TEST_F(Scenario, CutOffZoneIsTakenOverUnlessPolicyIsHold)
 {
     for (const CutOffPolicy policy : {CutOffPolicy::Move, CutOffPolicy::Hold}) {
-        ClusterPlan plan = calmPlan();
+        ClusterPlan plan = faultFreePlan();
         plan.policy = policy;
         plan.instances = 6;
         Cluster cluster(plan);
-        settle(cluster);
+        waitUntilStable(cluster);
         cluster.cutZone(0, true);
         for (const int instance : {0, 3})
             cluster.cutStore(instance, true);
@@ -193,10 +194,10 @@
     }
 }
 
-TEST_F(Scenario, CutOffPlacerThatReachesTheStoreCausesNoTurnTaking)
+TEST_F(Scenario, CutOffPlacerWithStoreAccessCausesNoRepeatedTakeovers)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     cluster.cutZone(0, true);
     cluster.run(seconds(3));
     std::vector<Term> before;
@@ -209,10 +210,10 @@
     EXPECT_EQ(before, after) << cluster.trace();
 }
 
-TEST_F(Scenario, AllInstancesReplacedAtOnceRecover)
+TEST_F(Scenario, ServiceRecoversAfterAllInstancesRestart)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     for (int i = 0; i < 5; ++i)
         cluster.kill(i);
     for (int i = 0; i < 5; ++i)
@@ -220,10 +221,10 @@
     expectServedWithin(cluster, seconds(10));
 }
 
-TEST_F(Scenario, FreshInstanceServesWhileTheStoreIsDown)
+TEST_F(Scenario, RestartedInstanceServesDuringStoreOutage)
 {
-    Cluster cluster(calmPlan());
-    settle(cluster);
+    Cluster cluster(faultFreePlan());
+    waitUntilStable(cluster);
     const int placer = cluster.placerOf(firstCell());
     const int other = (placer + 1) % 5;
     cluster.setStoreUp(false);
--- a/tests/placement/test_schedules.cpp
+++ b/tests/placement/test_schedules.cpp
@@ -11,20 +11,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int schedules = 3000;
-constexpr int slowSchedules = 300;
+constexpr int randomSchedules = 3000;
+constexpr int slowTakeoverSchedules = 300;
 constexpr int schedulesPerMutation = 1000;
 constexpr unsigned threads = 3;
 
 /// The steps of a schedule.
 struct Steps
 {
-    std::vector<Fault> faults; ///< Drawn from.
-    int count = 14; ///< How many.
-    Duration maxGap = milliseconds(900); ///< Longest time between two.
+    std::vector<Fault> faults; ///< Each step draws one of these.
+    int count = 14; ///< Number of steps.
+    Duration maxGap = milliseconds(900); ///< Longest time between two steps.
 };
 
-Steps allFaults()
+Steps allFaultSteps()
 {
     return {{Fault::KillInstance, Fault::RestartInstance, Fault::PauseInstance,
              Fault::PauseInstance, Fault::FreezeTarget, Fault::ToggleTarget, Fault::ToggleZoneCut,
@@ -33,8 +33,8 @@
              Fault::MoveSlice, Fault::MoveSlice}};
 }
 
-/// Takeovers whose write is slow, while the old placer goes on.
-Steps slowTakeovers()
+/// Takeovers with slow writes while the old placer continues.
+Steps slowTakeoverSteps()
 {
     return {{Fault::ToggleZoneCut, Fault::LoseWriteAnswers, Fault::LoseWriteAnswers,
              Fault::ToggleStoreCut, Fault::MoveSlice, Fault::MoveSlice, Fault::MoveSlice},
@@ -56,23 +56,24 @@
 }
 
 // Runs random faults, then ends them and expects every key to be served again.
-// Returns what went wrong, with the last steps.
+// Returns the failure with the end of the trace, or an empty string.
 std::string runSchedule(const ClusterPlan &plan, const Steps &steps, bool checkLiveness)
 {
     Cluster cluster(plan);
     if (!cluster.runUntilServing(seconds(20)))
-        return "not serving at first: " + cluster.violation() + "\n" + cluster.trace();
+        return "not serving before the first fault: " + cluster.violation() + "\n"
+            + cluster.trace();
     std::mt19937_64 random(plan.seed);
     for (int step = 0; step < steps.count && cluster.violation().empty(); ++step) {
         cluster.faultStep(steps.faults[random() % steps.faults.size()]);
         cluster.run(Duration(random() % steps.maxGap.count()));
     }
     if (cluster.violation().empty() && checkLiveness) {
-        cluster.heal();
-        std::string why;
+        cluster.endAllFaults();
+        std::string reason;
         if (!cluster.runUntilServing(seconds(60)) && cluster.violation().empty()) {
-            (void)cluster.isServing(&why);
-            return "not serving again: " + why + "\n" + cluster.trace();
+            (void)cluster.isServing(&reason);
+            return "service did not recover: " + reason + "\n" + cluster.trace();
         }
     }
     return cluster.violation().empty() ? "" : cluster.violation() + "\n" + cluster.trace();
@@ -116,23 +117,23 @@
     return outcome;
 }
 
-TEST(Schedules, KeepTheInvariantsAndServeAgain)
+TEST(Schedules, RandomFaultsKeepInvariantsAndServiceRecovers)
 {
     const Outcome outcome = runSchedules(
-        schedules, allFaults(), [](ClusterPlan &) {}, true, false);
+        randomSchedules, allFaultSteps(), [](ClusterPlan &) {}, true, false);
     EXPECT_EQ(outcome.failures, 0) << "seed " << outcome.firstSeed << ": " << outcome.first;
 }
 
 class Mutations : public testing::TestWithParam<impl::ProtocolMutation>
 { };
 
-TEST_P(Mutations, AreFound)
+TEST_P(Mutations, AreDetected)
 {
     const auto change = [](ClusterPlan &plan) { plan.mutation = GetParam(); };
     const bool isSlow = GetParam() == impl::ProtocolMutation::PromiseForgotten;
     const Outcome outcome = runSchedules(
-        schedulesPerMutation, isSlow ? slowTakeovers() : allFaults(), change, false, true);
-    EXPECT_GT(outcome.failures, 0) << "no schedule found the fault";
+        schedulesPerMutation, isSlow ? slowTakeoverSteps() : allFaultSteps(), change, false, true);
+    EXPECT_GT(outcome.failures, 0) << "no schedule detected the fault";
 }
 
 INSTANTIATE_TEST_SUITE_P(All, Mutations,
@@ -142,29 +143,30 @@
                                          impl::ProtocolMutation::LeaseCountedFromReceipt,
                                          impl::ProtocolMutation::SettleBeforeRevoke));
 
-TEST(LateGrants, AreFound)
+TEST(LateGrants, AreDetected)
 {
     const auto change = [](ClusterPlan &plan) { plan.lateGrants = true; };
-    const Outcome outcome = runSchedules(schedulesPerMutation, allFaults(), change, false, true);
-    EXPECT_GT(outcome.failures, 0) << "no schedule found the fault";
+    const Outcome outcome =
+        runSchedules(schedulesPerMutation, allFaultSteps(), change, false, true);
+    EXPECT_GT(outcome.failures, 0) << "no schedule detected the fault";
 }
 
-TEST(Schedules, SlowTakeoversKeepTheInvariants)
+TEST(Schedules, SlowTakeoversKeepInvariantsAndServiceRecovers)
 {
     const Outcome outcome = runSchedules(
-        slowSchedules, slowTakeovers(), [](ClusterPlan &) {}, true, false);
+        slowTakeoverSchedules, slowTakeoverSteps(), [](ClusterPlan &) {}, true, false);
     EXPECT_EQ(outcome.failures, 0) << "seed " << outcome.firstSeed << ": " << outcome.first;
 }
 
-TEST(Cluster, ServesEveryKeyInCalm)
+TEST(Cluster, ServesEveryKeyWithoutFaults)
 {
     ClusterPlan plan;
     plan.loss = 0;
     Cluster cluster(plan);
     const bool serving = cluster.runUntilServing(seconds(10));
-    std::string why;
-    (void)cluster.isServing(&why);
-    EXPECT_TRUE(serving) << why << "\n" << cluster.trace();
+    std::string reason;
+    (void)cluster.isServing(&reason);
+    EXPECT_TRUE(serving) << reason << "\n" << cluster.trace();
     EXPECT_EQ(cluster.violation(), "") << cluster.trace();
 }
 
