--- a/src/ownership/candidate.cpp
+++ b/src/ownership/candidate.cpp
@@ -55,7 +55,7 @@
     // keep taking the cell from each other.
     if (now - m_recordChangedAt <= context.timing.authorityLength)
         return isPlacerIsolated(context, record);
-    return hearsHalf(context, record.cell);
+    return hearsFromHalf(context, record.cell);
 }
 
 bool Candidate::isPlacerIsolated(const Context &context, const CellRecord &record) const
--- a/src/placement/candidate_choice.cpp
+++ b/src/placement/candidate_choice.cpp
@@ -25,22 +25,22 @@
     return hashKey(id.text() + "|" + std::string(path));
 }
 
-std::optional<InstanceId> bestNewcomer(const Context &context, const CellRecord &record)
+std::optional<InstanceId> bestNewCandidate(const Context &context, const CellRecord &record)
 {
-    std::map<ZoneId, std::size_t> perZone;
+    std::map<ZoneId, std::size_t> candidatesPerZone;
     for (const InstanceId &candidate : record.candidates) {
         if (const Member *member = context.findMember(candidate))
-            ++perZone[member->zone];
+            ++candidatesPerZone[member->zone];
     }
     using Score = std::tuple<std::size_t, bool, KeyHash>;
     std::optional<std::pair<Score, InstanceId>> best;
     for (const Member &member : context.members) {
-        const bool isListed =
+        const bool isCandidate =
             std::ranges::find(record.candidates, member.id) != record.candidates.end();
-        if (isListed || !member.alive || member.leaving || !member.knownToStore
+        if (isCandidate || !member.alive || member.leaving || !member.knownToStore
             || !mayBeCandidate(context, record.cell, member))
             continue;
-        const Score score{perZone[member.zone], member.zone != record.cell.zone,
+        const Score score{candidatesPerZone[member.zone], member.zone != record.cell.zone,
                           rendezvousHash(member.id, record.cell.path())};
         if (!best || score < best->first)
             best.emplace(score, member.id);
@@ -48,25 +48,25 @@
     return best ? std::optional(best->second) : std::nullopt;
 }
 
-struct Audience
+struct Reachability
 {
-    std::size_t listed = 0;
-    std::size_t heard = 0;
+    std::size_t expected = 0;
+    std::size_t reachable = 0;
 };
 
-Audience countAudience(const Context &context, const CellId &cell)
+Reachability countReachable(const Context &context, const CellId &cell)
 {
-    const bool homeOnly = holdsWhenCutOff(context, cell) && context.self.zone == cell.zone;
-    Audience audience;
+    const bool homeZoneOnly = holdsWhenCutOff(context, cell) && context.self.zone == cell.zone;
+    Reachability counts;
     for (const Member &member : context.members) {
-        if (homeOnly && member.zone != cell.zone)
+        if (homeZoneOnly && member.zone != cell.zone)
             continue;
         if (!member.knownToStore && !member.alive)
             continue;
-        ++audience.listed;
-        audience.heard += member.alive ? 1 : 0;
+        ++counts.expected;
+        counts.reachable += member.alive ? 1 : 0;
     }
-    return audience;
+    return counts;
 }
 
 } // namespace
@@ -75,40 +75,41 @@
 {
     if (!holdsWhenCutOff(context, cell) || member.zone == cell.zone)
         return true;
-    const bool homeHasInstances = std::ranges::any_of(context.members, [&](const Member &other) {
-        return other.zone == cell.zone && (other.knownToStore || other.alive);
-    });
-    return !homeHasInstances || isZoneStopped(context, cell.zone);
+    const bool homeZoneHasInstances =
+        std::ranges::any_of(context.members, [&](const Member &other) {
+            return other.zone == cell.zone && (other.knownToStore || other.alive);
+        });
+    return !homeZoneHasInstances || isZoneStopped(context, cell.zone);
 }
 
-bool hearsMajority(const Context &context, const CellId &cell)
+bool hearsFromMajority(const Context &context, const CellId &cell)
 {
-    const Audience audience = countAudience(context, cell);
-    return 2 * audience.heard > audience.listed;
+    const Reachability counts = countReachable(context, cell);
+    return 2 * counts.reachable > counts.expected;
 }
 
-bool hearsHalf(const Context &context, const CellId &cell)
+bool hearsFromHalf(const Context &context, const CellId &cell)
 {
-    const Audience audience = countAudience(context, cell);
-    return 2 * audience.heard >= audience.listed;
+    const Reachability counts = countReachable(context, cell);
+    return 2 * counts.reachable >= counts.expected;
 }
 
 bool improveCandidates(const Context &context, CellRecord &record,
-                       const std::vector<InstanceId> &unfit)
+                       const std::vector<InstanceId> &unsuitable)
 {
-    const auto newcomer = bestNewcomer(context, record);
+    const auto newCandidate = bestNewCandidate(context, record);
     std::vector<InstanceId> &candidates = record.candidates;
-    if (!unfit.empty() && hearsMajority(context, record.cell)) {
-        const auto place = std::ranges::find(candidates, unfit.front());
-        if (newcomer)
-            *place = *newcomer;
+    if (!unsuitable.empty() && hearsFromMajority(context, record.cell)) {
+        const auto position = std::ranges::find(candidates, unsuitable.front());
+        if (newCandidate)
+            *position = *newCandidate;
         else
-            candidates.erase(place);
+            candidates.erase(position);
         return true;
     }
-    if (!newcomer || candidates.size() >= context.timing.maxCandidates)
+    if (!newCandidate || candidates.size() >= context.timing.maxCandidates)
         return false;
-    candidates.push_back(*newcomer);
+    candidates.push_back(*newCandidate);
     return true;
 }
 
--- a/src/placement/candidate_choice.hpp
+++ b/src/placement/candidate_choice.hpp
@@ -17,20 +17,20 @@
 /// there or operators have declared the zone stopped.
 [[nodiscard]] bool mayBeCandidate(const Context &context, const CellId &cell, const Member &member);
 
-/// \brief Whether this instance hears more than half of the instances that the platform lists.
+/// \brief Whether this instance hears from more than half of the instances that the platform lists.
 /// With CutOffPolicy::Hold only the cell's home zone counts.
-[[nodiscard]] bool hearsMajority(const Context &context, const CellId &cell);
+[[nodiscard]] bool hearsFromMajority(const Context &context, const CellId &cell);
 
-/// \brief Like hearsMajority(), but exactly half is sufficient.
-[[nodiscard]] bool hearsHalf(const Context &context, const CellId &cell);
+/// \brief Like hearsFromMajority(), but exactly half is sufficient.
+[[nodiscard]] bool hearsFromHalf(const Context &context, const CellId &cell);
 
 /// \brief Replaces, removes or adds one candidate.
 /// \param context Members and settings.
 /// \param record The record; changed in place.
-/// \param unfit Candidates that should be removed.
+/// \param unsuitable Candidates that should be removed.
 /// \returns Whether the record was changed.
 [[nodiscard]] bool improveCandidates(const Context &context, CellRecord &record,
-                                     const std::vector<InstanceId> &unfit);
+                                     const std::vector<InstanceId> &unsuitable);
 
 /// \brief A live candidate for the handover, preferably in the cell's home zone.
 [[nodiscard]] std::optional<InstanceId> chooseSuccessor(const Context &context,
--- a/src/placement/cell.cpp
+++ b/src/placement/cell.cpp
@@ -58,7 +58,7 @@
     if (self != nullptr && self->leaving)
         return;
     if (m_record.placer == context.self.id && m_record.term > m_retiredTerm)
-        confirmNamed(context, now);
+        confirmHandover(context, now);
     else if (m_candidate.shouldTakeOver(context, m_record, now) && isStoreReachable(context, now))
         takeOver(context, now);
 }
@@ -123,20 +123,20 @@
                        TimePoint now)
 {
     if (!outcome.committed) {
-        const std::string why = outcome.version.value == 0 ? "the store rejected the write"
-                                                           : "another write was committed first";
-        context.log("placement", "Does not place " + m_id.path() + ": " + why + ".");
+        const std::string reason = outcome.version.value == 0 ? "the store rejected the write"
+                                                              : "another write was committed first";
+        context.log("placement", "Does not place " + m_id.path() + ": " + reason + ".");
         return;
     }
     if (outcome.version > m_version)
         adopt(record, outcome.version);
     m_candidate.onObserved(record, now);
     // Promises given while the write was in flight count too, so the wait starts only now.
-    const bool forgets = context.mutation == ProtocolMutation::PromiseForgotten;
-    const TimePoint waitsFrom = forgets ? outcome.sentAt : now;
+    const bool forgetsPromises = context.mutation == ProtocolMutation::PromiseForgotten;
+    const TimePoint waitStart = forgetsPromises ? outcome.sentAt : now;
     LapseWait wait = LapseWait::none();
     if (!m_claimedFrom.empty())
-        wait = LapseWait(context.self.id, m_claimedFrom, waitsFrom,
+        wait = LapseWait(context.self.id, m_claimedFrom, waitStart,
                          context.stretched(context.timing.authorityLength));
     m_retiredTerm = record.term;
     m_placer = std::make_unique<Placer>(
@@ -177,7 +177,7 @@
     claim(context, std::move(record), m_version, now);
 }
 
-void Cell::confirmNamed(Context &context, TimePoint now)
+void Cell::confirmHandover(Context &context, TimePoint now)
 {
     context.log("placement", "Confirms the handover of " + m_id.path() + ".");
     m_claimedFrom = m_record.candidates;
@@ -228,10 +228,10 @@
 void Cell::answerPromise(Context &context, const InstanceId &from, const PromiseRequest &request,
                          TimePoint now)
 {
-    const bool forgets = context.mutation == ProtocolMutation::PromiseForgotten;
-    const bool isTakingOver = m_claim.isBusy() && !forgets;
+    const bool forgetsPromises = context.mutation == ProtocolMutation::PromiseForgotten;
+    const bool isTakingOver = m_claim.isBusy() && !forgetsPromises;
     PromiseAnswer answer = m_candidate.answer(request, isTakingOver, now);
-    if (forgets) {
+    if (forgetsPromises) {
         answer.granted = true;
         answer.knownTerm = request.term;
     }
--- a/src/placement/cell.hpp
+++ b/src/placement/cell.hpp
@@ -59,7 +59,7 @@
 private:
     void takeOver(Context &context, TimePoint now);
     [[nodiscard]] bool isStoreReachable(Context &context, TimePoint now);
-    void confirmNamed(Context &context, TimePoint now);
+    void confirmHandover(Context &context, TimePoint now);
     void claim(Context &context, CellRecord record, ObjectVersion expected, TimePoint now);
     void finishClaim(Context &context, const CellRecord &record, const WriteOutcome &outcome,
                      TimePoint now);
--- a/src/placement/entry_view.cpp
+++ b/src/placement/entry_view.cpp
@@ -62,10 +62,10 @@
         acknowledge(context, now);
         return;
     }
-    m_heardAt = now;
+    m_lastUpdateAt = now;
     m_leaseSequence = std::max(m_leaseSequence, update.leaseSequence);
     extendLease(context, update, now);
-    keepIdle();
+    removeStaleIdle();
     publish(context);
     if (!update.shares.empty())
         context.actions.push_back(
@@ -99,8 +99,8 @@
     const auto ack = std::ranges::find(m_acks, update.echoSequence, &SentAck::sequence);
     if (ack == m_acks.end() || update.viewLease <= Duration::zero())
         return;
-    const bool fromReceipt = context.mutation == ProtocolMutation::LeaseCountedFromReceipt;
-    m_leaseEnd = std::max(m_leaseEnd, (fromReceipt ? now : ack->sentAt) + update.viewLease);
+    const bool countsFromReceipt = context.mutation == ProtocolMutation::LeaseCountedFromReceipt;
+    m_leaseEnd = std::max(m_leaseEnd, (countsFromReceipt ? now : ack->sentAt) + update.viewLease);
 }
 
 void EntryView::onSliceIdle(Context &context, const KeyRange &range, FencingToken token,
@@ -120,8 +120,8 @@
 void EntryView::onRecordObserved(Context &context, const CellRecord &record, TimePoint now)
 {
     const bool isNewer = record.term > m_term;
-    const bool isSilent = now - m_heardAt > 2 * context.timing.viewLeaseLength;
-    if (!isNewer && !(record.term == m_term && isSilent))
+    const bool isPlacerUnresponsive = now - m_lastUpdateAt > 2 * context.timing.viewLeaseLength;
+    if (!isNewer && !(record.term == m_term && isPlacerUnresponsive))
         return;
     std::vector<Route> routes = routesOfRecord(record);
     if (routes == m_routes && !isNewer)
@@ -137,7 +137,7 @@
     m_sequence = 0;
     m_placer = InstanceId();
     m_acks.clear();
-    keepIdle();
+    removeStaleIdle();
     publish(context);
 }
 
@@ -157,7 +157,7 @@
     context.send(m_placer, std::move(ack));
 }
 
-void EntryView::keepIdle()
+void EntryView::removeStaleIdle()
 {
     std::erase_if(m_idle, [&](const GrantedSlice &idle) {
         return std::ranges::none_of(m_routes, [&](const Route &route) {
--- a/src/placement/entry_view.hpp
+++ b/src/placement/entry_view.hpp
@@ -48,7 +48,7 @@
     void extendLease(const Context &context, const RouteUpdate &update, TimePoint now);
     void acknowledge(Context &context, TimePoint now);
     void publish(Context &context);
-    void keepIdle();
+    void removeStaleIdle();
 
     CellId m_cell;
     InstanceId m_placer;
@@ -59,7 +59,7 @@
     std::uint64_t m_leaseSequence = 0;
     std::uint64_t m_ackSequence = 0;
     TimePoint m_leaseEnd;
-    TimePoint m_heardAt;
+    TimePoint m_lastUpdateAt;
     std::deque<SentAck> m_acks;
     std::vector<Route> m_routes;
     std::vector<GrantedSlice> m_idle;
--- a/src/placement/load_summary.cpp
+++ b/src/placement/load_summary.cpp
@@ -51,17 +51,17 @@
 
 double LoadSummary::slowdown(const TargetId &target, TimePoint now) const
 {
-    std::vector<double> seen;
+    std::vector<double> slowdowns;
     for (const auto &[from, latest] : m_reports) {
         const auto found =
             std::ranges::find(latest.report.targets, target, &TargetObservation::target);
         if (now - latest.at < reportLifetime && found != latest.report.targets.end())
-            seen.push_back(found->slowdown);
+            slowdowns.push_back(found->slowdown);
     }
-    if (seen.empty())
+    if (slowdowns.empty())
         return 1;
-    std::ranges::sort(seen);
-    return seen[(seen.size() - 1) / 2];
+    std::ranges::sort(slowdowns);
+    return slowdowns[(slowdowns.size() - 1) / 2];
 }
 
 Duration LoadSummary::slowFor(const TargetId &target, TimePoint now) const
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -11,7 +11,7 @@
 /// Number of promise requests whose send time is kept.
 constexpr std::size_t maxTrackedPromises = 32;
 
-std::string nameOf(const CellRecord &record)
+std::string cellPath(const CellRecord &record)
 {
     return record.cell.path();
 }
@@ -31,7 +31,7 @@
     m_authority.recordConfirmation(start.confirmedAt);
     loadSlices(!m_earlierTerms.hasEnded());
     context.log("placement",
-                "Places " + nameOf(m_record) + " in term " + std::to_string(m_record.term.value)
+                "Places " + cellPath(m_record) + " in term " + std::to_string(m_record.term.value)
                     + ".");
     requestPromises(context, now);
     progress(context, now);
@@ -80,7 +80,7 @@
     m_writer.tick(context, now);
     if (m_life.phase() == PlacerPhase::Waiting && earlierTermsExpired(context, now)) {
         m_life.handle(PlacerSignal::EarlierTermsLapsed);
-        context.log("ownership", "Earlier terms of " + nameOf(m_record) + " have expired.");
+        context.log("ownership", "Earlier terms of " + cellPath(m_record) + " have expired.");
     }
     endHandOver(context, now);
     if (now >= m_nextPromiseAt)
@@ -98,7 +98,7 @@
     if (hasAuthority != m_hadAuthority) {
         context.log("ownership",
                     std::string(hasAuthority ? "Regained" : "Lost") + " authority over "
-                        + nameOf(m_record) + ".");
+                        + cellPath(m_record) + ".");
     }
     m_hadAuthority = hasAuthority;
     if (hasAuthority) {
@@ -225,7 +225,7 @@
 
 void Placer::adopt(Context &context, CellRecord record, ObjectVersion version, TimePoint now)
 {
-    const bool handedOver = record.placer != context.self.id;
+    const bool wasHandedOver = record.placer != context.self.id;
     std::vector<SliceRun> runs;
     for (const SliceRecord &slice : record.slices) {
         SliceRun run;
@@ -253,7 +253,7 @@
     m_runs = std::move(runs);
     m_record = std::move(record);
     m_version = version;
-    if (handedOver)
+    if (wasHandedOver)
         retire(context, "instance " + m_record.placer.text() + " takes over the cell");
 }
 
@@ -268,15 +268,15 @@
         return;
     m_life.handle(PlacerSignal::LeaveRequested);
     m_leavingSince = now;
-    context.log("placement", "Hands over " + nameOf(m_record) + ".");
+    context.log("placement", "Hands over " + cellPath(m_record) + ".");
 }
 
-void Placer::retire(Context &context, const std::string &why)
+void Placer::retire(Context &context, const std::string &reason)
 {
     if (isRetired())
         return;
     m_life.handle(PlacerSignal::TermLost);
-    context.log("placement", "Stops placing " + nameOf(m_record) + ": " + why + ".");
+    context.log("placement", "Stops placing " + cellPath(m_record) + ": " + reason + ".");
 }
 
 void Placer::describe(CellStatus &status, TimePoint now) const
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -59,7 +59,7 @@
     void onMergeRequest(const MergeRequestEvent &request);
     void leave(Context &context, TimePoint now);
     /// \brief Ends this term because a higher one is known.
-    void retire(Context &context, const std::string &why);
+    void retire(Context &context, const std::string &reason);
     /// @}
 
     /// \name State
@@ -93,7 +93,7 @@
     [[nodiscard]] bool applyShapeChanges(Context &context, CellRecord &record);
     [[nodiscard]] bool applyCandidates(const Context &context, CellRecord &record, TimePoint now);
     [[nodiscard]] bool applyHandOver(const Context &context, CellRecord &record) const;
-    [[nodiscard]] bool isTouchDue(TimePoint now) const;
+    [[nodiscard]] bool isConfirmationDue(TimePoint now) const;
     void endHandOver(Context &context, TimePoint now);
 
     // placer_moves.cpp: moves, grants and routes.
@@ -115,7 +115,7 @@
     [[nodiscard]] std::vector<BalanceTarget> balanceTargets(const Context &context,
                                                             TimePoint now) const;
     [[nodiscard]] bool startMove(Context &context, SliceRun &run, const TargetId &to,
-                                 const std::string &why, TimePoint now);
+                                 const std::string &reason, TimePoint now);
     [[nodiscard]] bool isUsable(const Context &context, const TargetSettings &target) const;
     [[nodiscard]] std::uint32_t movesUnderWay() const;
     void shareCapacities(Context &context, TimePoint now);
--- a/src/placement/placer_moves.cpp
+++ b/src/placement/placer_moves.cpp
@@ -22,9 +22,9 @@
 
 void Placer::advanceMoves(Context &context, TimePoint now)
 {
-    const bool lapsed = earlierTermsExpired(context, now);
+    const bool expired = earlierTermsExpired(context, now);
     for (SliceRun &run : m_runs) {
-        run.removeExpired(lapsed, now);
+        run.removeExpired(expired, now);
         while (run.move && advance(context, run, now))
             run.move->since = now;
     }
@@ -69,9 +69,9 @@
 bool Placer::release(Context &context, SliceRun &run, TimePoint now)
 {
     Move &move = *run.move;
-    const bool lapsed = earlierTermsExpired(context, now);
+    const bool expired = earlierTermsExpired(context, now);
     const bool skipsRevoke = context.mutation == ProtocolMutation::SettleBeforeRevoke;
-    if (!run.isHeldByOthers(move.to, lapsed, now) || skipsRevoke) {
+    if (!run.isHeldByOthers(move.to, expired, now) || skipsRevoke) {
         move.life.handle(MoveSignal::Released);
         return true;
     }
@@ -101,13 +101,13 @@
 
 void Placer::assignGrants(Context &context, TimePoint now)
 {
-    const bool lapsed = earlierTermsExpired(context, now);
+    const bool expired = earlierTermsExpired(context, now);
     const bool skipsRevoke = context.mutation == ProtocolMutation::SettleBeforeRevoke;
     std::map<TargetId, std::vector<GrantedSlice>> sets;
     std::map<TargetId, std::vector<SliceRun *>> granted;
     for (SliceRun &run : m_runs) {
         const TargetId grantee = run.grantee();
-        if (grantee.empty() || (run.isHeldByOthers(grantee, lapsed, now) && !skipsRevoke))
+        if (grantee.empty() || (run.isHeldByOthers(grantee, expired, now) && !skipsRevoke))
             continue;
         if (!context.checksGrants(m_record.cell.service, grantee))
             continue;
--- a/src/placement/placer_plan.cpp
+++ b/src/placement/placer_plan.cpp
@@ -39,24 +39,24 @@
         if (!target.checksGrants)
             m_unchecked.insert(target.id);
     }
-    const bool homeServes = std::ranges::any_of(service.targets, [&](const auto &target) {
+    const bool homeZoneServes = std::ranges::any_of(service.targets, [&](const auto &target) {
         return target.zone == m_record.cell.zone && isUsable(context, target)
             && m_book.phase(target.id) == TargetPhase::Serving;
     });
-    std::set<TargetId> wanted;
+    std::set<TargetId> watched;
     for (const TargetSettings &target : service.targets) {
-        if (!homeServes || target.zone == m_record.cell.zone)
-            wanted.insert(target.id);
+        if (!homeZoneServes || target.zone == m_record.cell.zone)
+            watched.insert(target.id);
     }
     for (const SliceRun &run : m_runs) {
         if (!run.record.owner.empty())
-            wanted.insert(run.record.owner);
+            watched.insert(run.record.owner);
         if (run.move)
-            wanted.insert(run.move->to);
+            watched.insert(run.move->to);
     }
-    for (const TargetId &target : wanted)
+    for (const TargetId &target : watched)
         m_book.watch(target);
-    m_book.keepOnly([&](const TargetId &target) { return wanted.contains(target); });
+    m_book.keepOnly([&](const TargetId &target) { return watched.contains(target); });
 }
 
 bool Placer::isUsable(const Context &context, const TargetSettings &target) const
@@ -92,8 +92,8 @@
     for (const SliceRun &run : m_runs)
         ++slices[run.move ? run.move->to : run.record.owner];
     const auto score = [&](const TargetSettings &target) {
-        const bool isAway = target.zone != m_record.cell.zone;
-        return std::pair(isAway, (slices[target.id] + 1) / std::max(target.slots, 1U));
+        const bool isOtherZone = target.zone != m_record.cell.zone;
+        return std::pair(isOtherZone, (slices[target.id] + 1) / std::max(target.slots, 1U));
     };
     for (SliceRun &run : m_runs) {
         const TargetId &owner = run.record.owner;
@@ -138,8 +138,8 @@
     }
 }
 
-bool Placer::startMove(Context &context, SliceRun &run, const TargetId &to, const std::string &why,
-                       TimePoint now)
+bool Placer::startMove(Context &context, SliceRun &run, const TargetId &to,
+                       const std::string &reason, TimePoint now)
 {
     const TargetSettings *target = context.findTarget(m_record.cell.service, to);
     const bool isPossible =
@@ -149,12 +149,12 @@
     m_book.watch(to);
     run.move.emplace();
     run.move->to = to;
-    run.move->why = why;
+    run.move->why = reason;
     run.move->since = now;
     const std::string from = run.record.owner.empty() ? "nobody" : run.record.owner.text();
     context.log("placement",
                 "Moves " + sliceName(run.record.range) + " from " + from + " to " + to.text() + ": "
-                    + why + ".");
+                    + reason + ".");
     return true;
 }
 
--- a/src/placement/placer_record.cpp
+++ b/src/placement/placer_record.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Minimum interval between writes that only confirm the term.
-constexpr Duration minTouchInterval = std::chrono::milliseconds(250);
+constexpr Duration minConfirmInterval = std::chrono::milliseconds(250);
 /// A leaving placer without a successor retires after this time.
 constexpr Duration handoverTimeout = std::chrono::seconds(2);
 
@@ -64,8 +64,8 @@
         return;
     bool changed = false;
     CellRecord next = nextRecord(context, now, changed);
-    const bool isTouch = !changed && isTouchDue(now);
-    if (!changed && !isTouch)
+    const bool isConfirmation = !changed && isConfirmationDue(now);
+    if (!changed && !isConfirmation)
         return;
     Result<std::string> text = encodeCellRecord(next);
     if (!text) {
@@ -79,11 +79,11 @@
         m_authority.extendUntil(authorityUntil(now));
         m_nextPromiseAt = now;
     }
-    m_nextWriteAt = now + minTouchInterval;
+    m_nextWriteAt = now + minConfirmInterval;
     m_writer.start(context, std::move(next), std::move(text.value()), m_version, now);
 }
 
-bool Placer::isTouchDue(TimePoint now) const
+bool Placer::isConfirmationDue(TimePoint now) const
 {
     constexpr Duration margin = std::chrono::milliseconds(500);
     return authorityUntil(now) - now < margin && now >= m_nextWriteAt;
@@ -130,14 +130,14 @@
     const std::size_t maxSlices = service == nullptr ? 0 : service->maxSlicesPerCell;
     bool changed = false;
     for (const PlannedSplitOrMerge &item : m_shapeChanges) {
-        bool done = false;
+        bool isApplied = false;
         if (const auto *wanted = std::get_if<PlannedSplit>(&item.change))
-            done = split(m_record, record, *wanted, maxSlices);
+            isApplied = split(m_record, record, *wanted, maxSlices);
         else
-            done = merge(m_record, record, std::get<PlannedMerge>(item.change));
-        if (!done)
+            isApplied = merge(m_record, record, std::get<PlannedMerge>(item.change));
+        if (!isApplied)
             context.log("placement", "Ignores a split or merge that no longer matches the slices.");
-        changed = changed || done;
+        changed = changed || isApplied;
     }
     m_shapeChanges.clear();
     return changed;
@@ -147,8 +147,8 @@
 {
     if (!m_earlierTerms.hasEnded())
         return false;
-    const Duration patience = 2 * context.timing.suspectAfter;
-    std::vector<InstanceId> unfit;
+    const Duration promiseTimeout = 2 * context.timing.suspectAfter;
+    std::vector<InstanceId> unsuitable;
     for (const InstanceId &candidate : record.candidates) {
         if (candidate == context.self.id)
             continue;
@@ -156,10 +156,10 @@
         const TimePoint heard = m_authority.lastPromise(candidate).value_or(since);
         const Member *member = context.findMember(candidate);
         const bool isLeaving = member != nullptr && member->leaving;
-        if (isLeaving || now - std::max(since, heard) > patience)
-            unfit.push_back(candidate);
+        if (isLeaving || now - std::max(since, heard) > promiseTimeout)
+            unsuitable.push_back(candidate);
     }
-    const bool changed = improveCandidates(context, record, unfit);
+    const bool changed = improveCandidates(context, record, unsuitable);
     std::erase_if(m_candidateSince, [&](const auto &item) {
         return std::ranges::find(record.candidates, item.first) == record.candidates.end();
     });
--- a/src/placement/record_codec.cpp
+++ b/src/placement/record_codec.cpp
@@ -37,18 +37,18 @@
 bool readSlice(const Json &json, SliceRecord &slice)
 {
     std::string owner;
-    bool good = readRange(json, slice.range) && readText(json, "owner", owner)
+    bool isValid = readRange(json, slice.range) && readText(json, "owner", owner)
         && readNumber(json, "token", slice.token.value);
     slice.owner = TargetId(owner);
-    if (!good || !json.contains("phase"))
-        return good;
+    if (!isValid || !json.contains("phase"))
+        return isValid;
     std::string phase;
     std::string nextOwner;
-    good = readText(json, "phase", phase) && readText(json, "nextOwner", nextOwner)
+    isValid = readText(json, "phase", phase) && readText(json, "nextOwner", nextOwner)
         && readNumber(json, "nextToken", slice.nextToken.value);
     slice.nextOwner = TargetId(nextOwner);
     slice.phase = SlicePhase::Moving;
-    return good && fromString<SlicePhase>(phase) == SlicePhase::Moving;
+    return isValid && fromString<SlicePhase>(phase) == SlicePhase::Moving;
 }
 
 bool readCandidates(const Json &json, std::vector<InstanceId> &candidates)
@@ -80,14 +80,14 @@
 bool readRecord(const Json &json, CellRecord &record)
 {
     std::string placer;
-    const bool good = readCellId(json, record.cell) && readRange(json, record.range)
+    const bool isValid = readCellId(json, record.cell) && readRange(json, record.range)
         && readNumber(json, "term", record.term.value) && readText(json, "placer", placer)
         && readCandidates(json, record.candidates)
         && readNumber(json, "lastToken", record.lastToken.value)
         && readNumber(json, "settingsVersion", record.settingsVersion.value)
         && readSlices(json, record.slices);
     record.placer = InstanceId(placer);
-    return good;
+    return isValid;
 }
 
 bool tokensAreConsistent(const CellRecord &record)
--- a/src/placement/slice_run.cpp
+++ b/src/placement/slice_run.cpp
@@ -64,8 +64,8 @@
 
 FencingToken SliceRun::granteeToken() const
 {
-    const bool toNext = move && move->life.phase() >= MovePhase::Granting;
-    return toNext ? record.nextToken : record.token;
+    const bool usesNextToken = move && move->life.phase() >= MovePhase::Granting;
+    return usesNextToken ? record.nextToken : record.token;
 }
 
 } // namespace yuccaspan::impl
