Plainer wording in the store client and its tests

Comments, doc comments and error texts of the store client, its public headers, the instance status record and the store tests are reworded. Error codes and names on the wire stay; no test matched the changed error texts.

The comparison without comments shows no change of structure and no marked literal; the 18 changed literals are error texts. "run" became postTask where it is the client's own function and stays where it is io_context::run.

--- a/include/yuccaspan/instance_status.hpp
+++ b/include/yuccaspan/instance_status.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief What an instance writes about itself to the store, at `status/<instance>`.
+/// \brief Status record that each instance writes to the store at `status/<instance>`.
 #pragma once
 
 #include "yuccaspan/ids.hpp"
@@ -10,10 +10,10 @@
 
 namespace yuccaspan {
 
-/// \brief What an instance has in force. Written when it changes only.
+/// \brief Status of an instance. Written only when it changes.
 struct InstanceStatusRecord
 {
-    InstanceId id; ///< The instance, with start id.
+    InstanceId id; ///< The instance id, including the start id.
     ZoneId zone; ///< Its availability zone.
     ObjectVersion settingsVersion; ///< Version of the settings in force.
     bool leaving = false; ///< Whether it is stopping.
@@ -24,9 +24,9 @@
 
 /// \brief Path of an instance's record in the store.
 [[nodiscard]] std::string instanceStatusPath(const InstanceId &id);
-/// \brief Writes a record as JSON.
+/// \brief Serializes a record as JSON.
 [[nodiscard]] std::string encodeInstanceStatus(const InstanceStatusRecord &record);
-/// \brief Reads a record from JSON.
+/// \brief Parses a record from JSON.
 /// \returns The record, ParseFailed or SchemaViolation.
 [[nodiscard]] Result<InstanceStatusRecord> decodeInstanceStatus(std::string_view text);
 
--- a/include/yuccaspan/store.hpp
+++ b/include/yuccaspan/store.hpp
@@ -21,30 +21,30 @@
     std::string value; ///< Its value.
 };
 
-/// \brief Objects that changed, and the revision up to which that is known.
+/// \brief Changed objects and the store revision up to which the changes are known.
 struct StoreChanges
 {
-    std::uint64_t revision = 0; ///< To resume a watch from.
-    bool complete = false; ///< Whether all present objects are listed, not only changes.
-    std::vector<StoreObject> objects; ///< In the order of their versions.
+    std::uint64_t revision = 0; ///< Revision from which a watch can resume.
+    bool complete = false; ///< Whether `objects` lists all existing objects, not just changes.
+    std::vector<StoreObject> objects; ///< Ordered by version.
 };
 
-/// \brief An instance or target in the platform's list, which lags.
+/// \brief An instance or target in the platform's list. The list is eventually consistent.
 struct ListedInstance
 {
-    std::string id; ///< Name; for entry instances with start id.
+    std::string id; ///< Name; includes the start id for entry instances.
     std::string role; ///< "entry" or "target".
     ZoneId zone; ///< Availability zone.
-    std::string address; ///< "ip:port" on which peers or callers reach it.
+    std::string address; ///< "ip:port" at which peers or callers reach it.
     bool leaving = false; ///< Whether it is about to be stopped.
 
     [[nodiscard]] friend bool operator==(const ListedInstance &, const ListedInstance &) = default;
 };
 
-/// \brief Calls to the platform's store. Asynchronous; callbacks run on the store's thread.
+/// \brief Asynchronous client of the platform's store. Callbacks run on the client's thread.
 ///
-/// Error codes: Conflict, NotFound, Unavailable (nothing took effect), UnknownResult (a write may
-/// have taken effect or may yet), LimitExceeded (the call budget is used up; nothing was sent).
+/// Error codes: Conflict, NotFound, Unavailable (no effect), UnknownResult (a write may have taken
+/// effect or may still do so), LimitExceeded (not sent: rate, queue or value size limit exceeded).
 class Store
 {
 public:
@@ -57,21 +57,21 @@
     Store &operator=(const Store &) = delete;
     virtual ~Store() = default;
 
-    /// \brief Reads one object. May lag behind the latest write.
+    /// \brief Reads one object. The result may be older than the latest write.
     virtual void get(std::string path, Callback<StoreObject> done) = 0;
     /// \brief Writes one object if it has the expected version.
     /// \param path Path of the object.
-    /// \param expected The version it must have; 0: it must be absent.
+    /// \param expected The version the object must have; 0 if it must not exist.
     /// \param value The new value.
     /// \param done Receives the new version.
     virtual void put(std::string path, ObjectVersion expected, std::string value,
                      Callback<ObjectVersion> done) = 0;
     /// \brief Waits for changes under a prefix.
     /// \param prefix Prefix of the paths.
-    /// \param after Revision to resume from; 0 lists all objects at once.
-    /// \param done Receives the changes; an empty list when nothing changed for a while.
+    /// \param after Revision to resume from; 0 returns all existing objects immediately.
+    /// \param done Receives the changes; the list is empty if the wait timed out.
     virtual void watch(std::string prefix, std::uint64_t after, Callback<StoreChanges> done) = 0;
-    /// \brief Reads the platform's list of instances, which lags.
+    /// \brief Reads the platform's list of instances, which is eventually consistent.
     virtual void listInstances(Callback<std::vector<ListedInstance>> done) = 0;
 };
 
--- a/src/store/backoff.cpp
+++ b/src/store/backoff.cpp
@@ -10,8 +10,8 @@
 
 Duration Backoff::failed() noexcept
 {
-    std::uniform_int_distribution<Duration::rep> evenly(0, m_bound.count());
-    const Duration delay(evenly(m_random));
+    std::uniform_int_distribution<Duration::rep> uniform(0, m_bound.count());
+    const Duration delay(uniform(m_random));
     m_bound = std::min(m_limit, m_bound * 2);
     return delay;
 }
--- a/src/store/call_budget.hpp
+++ b/src/store/call_budget.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief The call budget of one instance and the counts of its calls.
+/// \brief Rate limits and counters of the store calls of one instance.
 #pragma once
 
 #include "store/token_bucket.hpp"
@@ -10,15 +10,15 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Kinds of calls, in the order of their token buckets.
+/// \brief Kinds of calls. The values index the arrays of token buckets and counters.
 enum class CallKind {
-    Read, ///< Reads one object.
+    Read, ///< Read of one object.
     Write, ///< Conditional update.
-    Watch, ///< Waits for changes.
-    List, ///< Reads the list of instances; draws on the bucket of reads.
+    Watch, ///< Wait for changes.
+    List, ///< Read of the list of instances; shares the token bucket of reads.
 };
 
-/// \brief One token bucket for each kind of call.
+/// \brief Rate limiter with token buckets for reads, writes and watches.
 class CallBudget
 {
 public:
@@ -28,12 +28,12 @@
           m_watches(budget.watchesPerSecond, budget.watchesPerSecond * budget.burstSeconds)
     { }
 
-    /// \brief Takes one call from the budget.
+    /// \brief Takes a token for one call.
     /// \returns Whether the call may be made.
-    [[nodiscard]] bool take(CallKind kind, TimePoint now) noexcept
+    [[nodiscard]] bool tryTake(CallKind kind, TimePoint now) noexcept
     {
         const std::array<TokenBucket *, 4> buckets{&m_reads, &m_writes, &m_watches, &m_reads};
-        return buckets[static_cast<std::size_t>(kind)]->take(now);
+        return buckets[static_cast<std::size_t>(kind)]->tryTake(now);
     }
 
 private:
@@ -42,12 +42,12 @@
     TokenBucket m_watches;
 };
 
-/// \brief Counts that one thread writes and others read.
+/// \brief Counters that may be updated and read concurrently.
 class AtomicCounters
 {
 public:
-    /// \brief Adds one to a count.
-    void add(std::uint64_t StoreCounters::*counter) noexcept
+    /// \brief Increments a counter.
+    void increment(std::uint64_t StoreCounters::*counter) noexcept
     {
         for (std::size_t index = 0; index < members.size(); ++index) {
             if (members[index] == counter)
@@ -55,7 +55,7 @@
         }
     }
 
-    /// \brief A copy of all counts.
+    /// \brief A copy of all counters.
     [[nodiscard]] StoreCounters snapshot() const noexcept
     {
         StoreCounters counters;
--- a/src/store/http_connection.cpp
+++ b/src/store/http_connection.cpp
@@ -24,8 +24,8 @@
                               public std::enable_shared_from_this<BeastConnection>
 {
 public:
-    BeastConnection(asio::io_context &context, HostPort peer, std::function<void()> opened)
-        : m_context(context), m_peer(std::move(peer)), m_opened(std::move(opened))
+    BeastConnection(asio::io_context &context, HostPort peer, std::function<void()> onConnect)
+        : m_context(context), m_peer(std::move(peer)), m_onConnect(std::move(onConnect))
     { }
 
     void call(HttpCall request, Done done) override
@@ -34,9 +34,9 @@
         m_isGet = request.method == "GET";
         m_sent = false;
         m_deadline = std::chrono::steady_clock::now() + request.timeout;
-        fillRequest(std::move(request));
-        m_isReused = isStillOpen();
-        if (m_isReused)
+        buildRequest(std::move(request));
+        m_connectionReused = isReusable();
+        if (m_connectionReused)
             send();
         else
             connect();
@@ -50,7 +50,7 @@
     }
 
 private:
-    void fillRequest(HttpCall &&call)
+    void buildRequest(HttpCall &&call)
     {
         m_request = {};
         m_request.version(11);
@@ -63,8 +63,8 @@
         m_request.prepare_payload();
     }
 
-    /// Whether the connection is open and the peer has not closed it in the meantime.
-    bool isStillOpen()
+    /// Whether the connection is open and the peer has not closed it while it was idle.
+    bool isReusable()
     {
         if (!m_stream || !m_stream->socket().is_open())
             return false;
@@ -79,7 +79,7 @@
     {
         error_code failure;
         const auto address = asio::ip::make_address(m_peer.address, failure);
-        m_opened();
+        m_onConnect();
         m_buffer.clear();
         m_stream.emplace(m_context);
         m_stream->expires_at(m_deadline);
@@ -97,42 +97,42 @@
     void send()
     {
         m_stream->expires_at(m_deadline);
-        const auto wrote = [self = shared_from_this()](error_code result, std::size_t bytes) {
+        const auto onSent = [self = shared_from_this()](error_code result, std::size_t bytes) {
             self->m_sent = self->m_sent || bytes > 0;
             if (result)
                 return self->retryOrFail("send", result);
             self->receive();
         };
-        http::async_write(*m_stream, m_request, wrote);
+        http::async_write(*m_stream, m_request, onSent);
     }
 
     void receive()
     {
         m_parser.emplace();
         m_parser->body_limit(maxAnswerBytes);
-        const auto received = [self = shared_from_this()](error_code result, std::size_t bytes) {
+        const auto onReceived = [self = shared_from_this()](error_code result, std::size_t bytes) {
             if (result && bytes == 0)
                 return self->retryOrFail("receive", result);
             if (result)
                 return self->fail("receive", result);
-            self->finish();
+            self->handleResponse();
         };
-        http::async_read(*m_stream, m_buffer, *m_parser, received);
+        http::async_read(*m_stream, m_buffer, *m_parser, onReceived);
     }
 
-    /// A GET on a connection that the peer was just closing is sent once more.
+    /// Retries a GET once on a new connection if the peer closed the reused connection.
     void retryOrFail(const char *step, error_code result)
     {
         const bool isTimeout = result == beast::error::timeout;
         const bool mayRetry =
-            m_isGet && m_isReused && !isTimeout && m_stream && m_stream->socket().is_open();
+            m_isGet && m_connectionReused && !isTimeout && m_stream && m_stream->socket().is_open();
         if (!mayRetry)
             return fail(step, result);
-        m_isReused = false;
+        m_connectionReused = false;
         connect();
     }
 
-    void finish()
+    void handleResponse()
     {
         HttpAnswer answer;
         answer.status = m_parser->get().result_int();
@@ -142,7 +142,7 @@
         if (!m_parser->get().keep_alive())
             close();
         m_parser.reset();
-        end(std::move(answer));
+        complete(std::move(answer));
     }
 
     void fail(const char *step, error_code result)
@@ -152,10 +152,10 @@
         failure.timedOut = result == beast::error::timeout;
         failure.text = std::string(step) + ": " + result.message();
         close();
-        end(std::move(failure));
+        complete(std::move(failure));
     }
 
-    void end(HttpResult result)
+    void complete(HttpResult result)
     {
         const Done done = std::move(m_done);
         m_done = nullptr;
@@ -164,7 +164,7 @@
 
     asio::io_context &m_context;
     HostPort m_peer;
-    std::function<void()> m_opened;
+    std::function<void()> m_onConnect;
     std::optional<beast::tcp_stream> m_stream;
     beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
@@ -172,25 +172,25 @@
     Done m_done;
     std::chrono::steady_clock::time_point m_deadline;
     bool m_isGet = false;
-    bool m_isReused = false;
+    bool m_connectionReused = false;
     bool m_sent = false;
 };
 
 } // namespace
 
 std::shared_ptr<HttpConnection> makeHttpConnection(asio::io_context &context, HostPort peer,
-                                                   std::function<void()> opened)
+                                                   std::function<void()> onConnect)
 {
-    return std::make_shared<BeastConnection>(context, std::move(peer), std::move(opened));
+    return std::make_shared<BeastConnection>(context, std::move(peer), std::move(onConnect));
 }
 
 HttpResult callOnce(const HostPort &peer, HttpCall request)
 {
     asio::io_context context;
-    HttpResult result = HttpFailure{false, false, "not called"};
+    HttpResult result = HttpFailure{false, false, "the call did not complete"};
     const auto connection = makeHttpConnection(context, peer, [] {});
-    connection->call(std::move(request), [&](HttpResult ended) {
-        result = std::move(ended);
+    connection->call(std::move(request), [&](HttpResult completed) {
+        result = std::move(completed);
         connection->close();
     });
     context.run();
@@ -203,13 +203,13 @@
     constexpr std::string_view unreserved =
         "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
     std::string encoded;
-    for (const char letter : text) {
-        if (unreserved.find(letter) != std::string_view::npos
-            || keep.find(letter) != std::string_view::npos) {
-            encoded += letter;
+    for (const char character : text) {
+        if (unreserved.find(character) != std::string_view::npos
+            || keep.find(character) != std::string_view::npos) {
+            encoded += character;
             continue;
         }
-        const auto byte = static_cast<unsigned char>(letter);
+        const auto byte = static_cast<unsigned char>(character);
         encoded += '%';
         encoded += digits[byte >> 4U];
         encoded += digits[byte & 15U];
--- a/src/store/http_connection.hpp
+++ b/src/store/http_connection.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief One keep-alive HTTP connection of a client.
+/// \brief HTTP client connection with keep-alive.
 #pragma once
 
 #include "yuccaspan/clock.hpp"
@@ -18,37 +18,38 @@
 
 namespace yuccaspan::impl {
 
-/// \brief A request.
+/// \brief An HTTP request.
 struct HttpCall
 {
     std::string method; ///< GET, PUT or POST.
     std::string target; ///< Path and query, percent-encoded.
-    std::vector<std::pair<std::string, std::string>> headers; ///< Besides Host and length.
+    std::vector<std::pair<std::string, std::string>>
+        headers; ///< Headers other than Host and Content-Length.
     std::string body; ///< Body; empty for GET.
-    Duration timeout{}; ///< Longest time for connecting, sending and answering together.
+    Duration timeout{}; ///< Total time for connecting, sending and receiving.
 };
 
-/// \brief An answer.
+/// \brief An HTTP response.
 struct HttpAnswer
 {
     unsigned status = 0; ///< Status code.
-    std::string etag; ///< Header ETag with its quotes, or empty.
+    std::string etag; ///< ETag header including its quotes, or empty.
     std::string body; ///< Body.
 };
 
-/// \brief No answer came.
+/// \brief A call that ended without a response.
 struct HttpFailure
 {
-    bool sent = false; ///< Whether a byte of the request was handed to the network.
-    bool timedOut = false; ///< Whether the time was up.
-    std::string text; ///< What failed.
+    bool sent = false; ///< Whether any byte of the request was sent.
+    bool timedOut = false; ///< Whether the timeout expired.
+    std::string text; ///< Description of the failure.
 };
 
-/// \brief How a call ended.
+/// \brief Result of a call.
 using HttpResult = std::variant<HttpAnswer, HttpFailure>;
 
-/// \brief A connection that carries one call at a time and stays open between calls. Used on the
-/// thread of its io_context only.
+/// \brief A connection that handles one call at a time and stays open between calls. Must only be
+/// used on the thread of its io_context.
 class HttpConnection
 {
 public:
@@ -59,28 +60,29 @@
     HttpConnection &operator=(const HttpConnection &) = delete;
     virtual ~HttpConnection() = default;
 
-    /// \brief Sends a call and waits for its answer; connects first if need be.
-    /// \warning One call at a time.
+    /// \brief Sends a request and receives the response; connects first if not connected.
+    /// \warning Must not be called while another call is in flight.
     virtual void call(HttpCall request, Done done) = 0;
-    /// \brief Closes the connection; a call under way fails.
+    /// \brief Closes the connection; a call in flight fails.
     virtual void close() = 0;
 };
 
-/// \brief Creates a connection that is not yet open.
-/// \param context Runs the input and output.
+/// \brief Creates a connection, which opens at the first call.
+/// \param context Runs the asynchronous I/O.
 /// \param peer Where to connect to.
-/// \param opened Called each time a connection is being opened.
-[[nodiscard]] std::shared_ptr<HttpConnection>
-makeHttpConnection(boost::asio::io_context &context, HostPort peer, std::function<void()> opened);
+/// \param onConnect Called at each attempt to connect.
+[[nodiscard]] std::shared_ptr<HttpConnection> makeHttpConnection(boost::asio::io_context &context,
+                                                                 HostPort peer,
+                                                                 std::function<void()> onConnect);
 
-/// \brief Makes one call on a connection of its own and waits for it.
+/// \brief Makes one blocking call on a new connection.
 /// \param peer Where to connect to.
-/// \param request The call.
+/// \param request The request.
 [[nodiscard]] HttpResult callOnce(const HostPort &peer, HttpCall request);
 
-/// \brief Percent-encodes a text.
-/// \param text The text.
-/// \param keep Letters that stay as they are, besides letters, digits and "-._~".
+/// \brief Percent-encodes a string.
+/// \param text The string.
+/// \param keep Characters not to encode, besides letters, digits and "-._~".
 [[nodiscard]] std::string percentEncode(std::string_view text, std::string_view keep = {});
 
 } // namespace yuccaspan::impl
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -24,18 +24,18 @@
 namespace asio = boost::asio;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-/// A call that waits for a connection.
-struct WaitingCall
+/// A call that is queued until a connection is idle.
+struct QueuedCall
 {
     HttpCall call;
     HttpConnection::Done done;
     SteadyTime deadline;
 };
 
-/// A watch that follow() keeps up.
-struct Following
+/// A watch that follow() renews until stop().
+struct Subscription
 {
-    Following(asio::io_context &context, Backoff delays) : timer(context), backoff(delays) { }
+    Subscription(asio::io_context &context, Backoff delays) : timer(context), backoff(delays) { }
 
     std::string prefix;
     HttpStore::Follower follower;
@@ -51,10 +51,10 @@
         : m_options(std::move(options)),
           m_clock(clock),
           m_budget(m_options.budget),
-          m_work(asio::make_work_guard(m_context))
+          m_workGuard(asio::make_work_guard(m_context))
     {
         for (std::uint32_t index = 0; index < m_options.connections; ++index)
-            m_idle.push_back(newConnection());
+            m_idleConnections.push_back(newConnection());
         m_thread = std::thread([this] { m_context.run(); });
     }
 
@@ -117,12 +117,12 @@
     std::shared_ptr<HttpConnection> newConnection()
     {
         return makeHttpConnection(m_context, {m_options.address, m_options.port},
-                                  [this] { m_counters.add(&StoreCounters::connects); });
+                                  [this] { m_counters.increment(&StoreCounters::connects); });
     }
 
-    /// Runs a function on the store's thread, or returns false if the client has stopped.
+    /// Posts a function to the client's thread; returns false if the client has been stopped.
     template <typename Function>
-    bool run(Function function)
+    bool postTask(Function function)
     {
         const std::lock_guard lock(m_acceptMutex);
         if (!m_accepting)
@@ -131,35 +131,36 @@
         return true;
     }
 
-    /// Hands a call over to the store's thread. Bounded by queueLimit.
+    /// Posts a call to the client's thread. Rejects it if queueLimit calls are pending.
     template <typename T, typename Read>
     void submit(CallKind kind, HttpCall call, Read read, Callback<T> done)
     {
         const SteadyTime deadline = std::chrono::steady_clock::now() + call.timeout;
-        const bool isFull = m_pending.fetch_add(1) >= m_options.queueLimit;
-        auto start = [this, kind, deadline, isFull, call = std::move(call), read, done]() mutable {
-            if (isFull || !m_budget.take(kind, m_clock.now()))
-                return refuse(done,
-                              isFull ? "too many calls are waiting" : "call budget is used up");
-            auto ended = [this, read, done](const HttpResult &result) {
+        const bool queueFull = m_pending.fetch_add(1) >= m_options.queueLimit;
+        auto start = [this, kind, deadline, queueFull, call = std::move(call), read,
+                      done]() mutable {
+            if (queueFull || !m_budget.tryTake(kind, m_clock.now()))
+                return reject(
+                    done, queueFull ? "too many calls are pending" : "the rate limit is exceeded");
+            auto onResult = [this, read, done](const HttpResult &result) {
                 m_pending.fetch_sub(1);
                 Result<T> value = read(result);
                 countFailure(value);
                 done(std::move(value));
             };
-            begin(kind, {std::move(call), std::move(ended), deadline});
+            dispatch(kind, {std::move(call), std::move(onResult), deadline});
         };
-        if (run(std::move(start)))
+        if (postTask(std::move(start)))
             return;
         m_pending.fetch_sub(1);
-        done(Error{ErrorCode::Unavailable, "the client has stopped", {}});
+        done(Error{ErrorCode::Unavailable, "the store client has been stopped", {}});
     }
 
     template <typename T>
-    void refuse(const Callback<T> &done, const char *text)
+    void reject(const Callback<T> &done, const char *text)
     {
         m_pending.fetch_sub(1);
-        m_counters.add(&StoreCounters::limited);
+        m_counters.increment(&StoreCounters::limited);
         done(Error{ErrorCode::LimitExceeded, text, {}});
     }
 
@@ -169,73 +170,75 @@
         if (result)
             return;
         if (result.error().code == ErrorCode::Conflict)
-            m_counters.add(&StoreCounters::conflicts);
+            m_counters.increment(&StoreCounters::conflicts);
         if (result.error().code == ErrorCode::Unavailable)
-            m_counters.add(&StoreCounters::unavailable);
+            m_counters.increment(&StoreCounters::unavailable);
         if (result.error().code == ErrorCode::UnknownResult)
-            m_counters.add(&StoreCounters::unknownResults);
+            m_counters.increment(&StoreCounters::unknownResults);
     }
 
-    void begin(CallKind kind, WaitingCall waiting)
+    void dispatch(CallKind kind, QueuedCall queued)
     {
         static constexpr std::array<CounterMember, 4> sentCounters{
             &StoreCounters::reads, &StoreCounters::writes, &StoreCounters::watches,
             &StoreCounters::lists};
-        m_counters.add(sentCounters[static_cast<std::size_t>(kind)]);
+        m_counters.increment(sentCounters[static_cast<std::size_t>(kind)]);
         if (kind == CallKind::Watch)
-            return startOn(takeWatchConnection(), m_idleWatches, std::move(waiting));
-        m_waiting.push_back(std::move(waiting));
-        startWaiting();
+            return send(acquireWatchConnection(), m_idleWatchConnections, std::move(queued));
+        m_queue.push_back(std::move(queued));
+        startQueued();
     }
 
-    std::shared_ptr<HttpConnection> takeWatchConnection()
+    std::shared_ptr<HttpConnection> acquireWatchConnection()
     {
-        if (m_idleWatches.empty())
+        if (m_idleWatchConnections.empty())
             return newConnection();
-        auto connection = std::move(m_idleWatches.back());
-        m_idleWatches.pop_back();
+        auto connection = std::move(m_idleWatchConnections.back());
+        m_idleWatchConnections.pop_back();
         return connection;
     }
 
-    void startWaiting()
+    void startQueued()
     {
-        while (!m_waiting.empty() && (m_stopping || !m_idle.empty())) {
-            WaitingCall waiting = std::move(m_waiting.front());
-            m_waiting.pop_front();
+        while (!m_queue.empty() && (m_stopping || !m_idleConnections.empty())) {
+            QueuedCall queued = std::move(m_queue.front());
+            m_queue.pop_front();
             if (m_stopping) {
-                waiting.done(HttpFailure{false, false, "the client is stopping"});
+                queued.done(HttpFailure{false, false, "the store client is stopping"});
                 continue;
             }
-            auto connection = std::move(m_idle.back());
-            m_idle.pop_back();
-            startOn(std::move(connection), m_idle, std::move(waiting));
+            auto connection = std::move(m_idleConnections.back());
+            m_idleConnections.pop_back();
+            send(std::move(connection), m_idleConnections, std::move(queued));
         }
     }
 
-    /// Makes a call and puts its connection back into a list afterwards.
-    void startOn(std::shared_ptr<HttpConnection> connection,
-                 std::vector<std::shared_ptr<HttpConnection>> &idle, WaitingCall waiting)
+    /// Sends a call and returns its connection to the idle list afterwards.
+    void send(std::shared_ptr<HttpConnection> connection,
+              std::vector<std::shared_ptr<HttpConnection>> &idle, QueuedCall queued)
     {
-        const auto left = waiting.deadline - std::chrono::steady_clock::now();
-        waiting.call.timeout = std::chrono::duration_cast<Duration>(left);
-        if (m_stopping || left <= Duration::zero()) {
+        const auto remaining = queued.deadline - std::chrono::steady_clock::now();
+        queued.call.timeout = std::chrono::duration_cast<Duration>(remaining);
+        if (m_stopping || remaining <= Duration::zero()) {
             idle.push_back(std::move(connection));
-            return waiting.done(HttpFailure{false, !m_stopping, "not sent in time"});
+            return queued.done(
+                HttpFailure{false, !m_stopping, "the timeout expired before the call was sent"});
         }
-        m_active.insert(connection);
+        m_activeConnections.insert(connection);
         HttpConnection &used = *connection;
-        used.call(std::move(waiting.call),
+        used.call(std::move(queued.call),
                   [this, &idle, connection = std::move(connection),
-                   done = std::move(waiting.done)](HttpResult result) mutable {
-                      m_active.erase(connection);
+                   done = std::move(queued.done)](HttpResult result) mutable {
+                      m_activeConnections.erase(connection);
                       idle.push_back(std::move(connection));
                       done(std::move(result));
-                      startWaiting();
+                      startQueued();
                   });
     }
 
-    void watchAgain(const std::shared_ptr<Following> &following);
-    void followed(const std::shared_ptr<Following> &following, Result<StoreChanges> result);
+    void startWatch(const std::shared_ptr<Subscription> &subscription);
+    void onWatchResult(const std::shared_ptr<Subscription> &subscription,
+                       Result<StoreChanges> result);
 
     StoreOptions m_options;
     const Clock &m_clock;
@@ -246,12 +249,12 @@
     bool m_accepting = true;
     bool m_stopping = false;
     asio::io_context m_context{1};
-    asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    std::vector<std::shared_ptr<HttpConnection>> m_idle;
-    std::vector<std::shared_ptr<HttpConnection>> m_idleWatches;
-    std::set<std::shared_ptr<HttpConnection>> m_active;
-    std::deque<WaitingCall> m_waiting;
-    std::vector<std::shared_ptr<Following>> m_following;
+    asio::executor_work_guard<asio::io_context::executor_type> m_workGuard;
+    std::vector<std::shared_ptr<HttpConnection>> m_idleConnections;
+    std::vector<std::shared_ptr<HttpConnection>> m_idleWatchConnections;
+    std::set<std::shared_ptr<HttpConnection>> m_activeConnections;
+    std::deque<QueuedCall> m_queue;
+    std::vector<std::shared_ptr<Subscription>> m_subscriptions;
     std::thread m_thread;
 };
 
@@ -259,55 +262,56 @@
                           Callback<ObjectVersion> done)
 {
     if (value.size() > maxValueBytes)
-        return done(Error{ErrorCode::LimitExceeded, "value is longer than 1000000 bytes", {}});
+        return done(Error{ErrorCode::LimitExceeded, "the value is longer than 1000000 bytes", {}});
     HttpCall call = makeCall("PUT", objectTarget(path));
     if (expected.value == 0)
         call.headers.emplace_back("If-None-Match", "*");
     else
         call.headers.emplace_back("If-Match", '"' + std::to_string(expected.value) + '"');
     call.body = std::move(value);
-    submit<ObjectVersion>(CallKind::Write, std::move(call), readWritten, std::move(done));
+    submit<ObjectVersion>(CallKind::Write, std::move(call), readPutResult, std::move(done));
 }
 
 void HttpStoreClient::follow(std::string prefix, Follower follower)
 {
     const Backoff backoff(m_options.retryInitial, m_options.retryLimit, m_options.seed);
-    auto following = std::make_shared<Following>(m_context, backoff);
-    following->prefix = std::move(prefix);
-    following->follower = std::move(follower);
-    run([this, following] {
-        m_following.push_back(following);
-        watchAgain(following);
+    auto subscription = std::make_shared<Subscription>(m_context, backoff);
+    subscription->prefix = std::move(prefix);
+    subscription->follower = std::move(follower);
+    postTask([this, subscription] {
+        m_subscriptions.push_back(subscription);
+        startWatch(subscription);
     });
 }
 
-void HttpStoreClient::watchAgain(const std::shared_ptr<Following> &following)
+void HttpStoreClient::startWatch(const std::shared_ptr<Subscription> &subscription)
 {
     if (m_stopping)
         return;
-    watch(following->prefix, following->revision, [this, following](Result<StoreChanges> result) {
-        followed(following, std::move(result));
-    });
+    watch(subscription->prefix, subscription->revision,
+          [this, subscription](Result<StoreChanges> result) {
+              onWatchResult(subscription, std::move(result));
+          });
 }
 
-void HttpStoreClient::followed(const std::shared_ptr<Following> &following,
-                               Result<StoreChanges> result)
+void HttpStoreClient::onWatchResult(const std::shared_ptr<Subscription> &subscription,
+                                    Result<StoreChanges> result)
 {
     if (m_stopping)
         return;
     if (result) {
-        following->backoff.succeeded();
-        if (result->complete || result->revision > following->revision)
-            following->revision = result->revision;
+        subscription->backoff.succeeded();
+        if (result->complete || result->revision > subscription->revision)
+            subscription->revision = result->revision;
         if (result->complete || !result->objects.empty())
-            following->follower(std::move(result));
-        return watchAgain(following);
+            subscription->follower(std::move(result));
+        return startWatch(subscription);
     }
-    following->follower(std::move(result));
-    following->timer.expires_after(following->backoff.failed());
-    following->timer.async_wait([this, following](boost::system::error_code failure) {
+    subscription->follower(std::move(result));
+    subscription->timer.expires_after(subscription->backoff.failed());
+    subscription->timer.async_wait([this, subscription](boost::system::error_code failure) {
         if (!failure)
-            watchAgain(following);
+            startWatch(subscription);
     });
 }
 
@@ -321,16 +325,16 @@
     }
     asio::post(m_context, [this] {
         m_stopping = true;
-        startWaiting();
-        for (const auto &following : m_following)
-            following->timer.cancel();
-        for (const auto &connection : m_active)
+        startQueued();
+        for (const auto &subscription : m_subscriptions)
+            subscription->timer.cancel();
+        for (const auto &connection : m_activeConnections)
             connection->close();
-        for (const auto &connection : m_idle)
+        for (const auto &connection : m_idleConnections)
             connection->close();
-        for (const auto &connection : m_idleWatches)
+        for (const auto &connection : m_idleWatchConnections)
             connection->close();
-        m_work.reset();
+        m_workGuard.reset();
     });
     m_thread.join();
 }
@@ -341,13 +345,16 @@
 
 Result<std::unique_ptr<HttpStore>> makeHttpStore(StoreOptions options, const Clock &clock)
 {
-    const auto wrong = [](const char *text) { return Error{ErrorCode::InvalidArgument, text, {}}; };
+    const auto invalidOption = [](const char *text) {
+        return Error{ErrorCode::InvalidArgument, text, {}};
+    };
     if (!parseHostPort(options.address + ':' + std::to_string(options.port)))
-        return wrong("the store's address must be a numeric IP address with a port");
+        return invalidOption(
+            "the store's address must be a numeric IP address and its port must not be 0");
     if (options.connections == 0 || options.queueLimit == 0)
-        return wrong("connections and queueLimit must be at least 1");
+        return invalidOption("connections and queueLimit must be at least 1");
     if (options.callTimeout <= Duration::zero() || options.watchWait <= Duration::zero())
-        return wrong("callTimeout and watchWait must be above 0");
+        return invalidOption("callTimeout and watchWait must be positive");
     return std::unique_ptr<HttpStore>(
         std::make_unique<impl::HttpStoreClient>(std::move(options), clock));
 }
--- a/src/store/instance_status.cpp
+++ b/src/store/instance_status.cpp
@@ -6,7 +6,7 @@
 
 std::string instanceStatusPath(const InstanceId &id)
 {
-    // Without the start id, so that a restart replaces the record of the start before.
+    // The path has no start id, so a restarted instance overwrites its previous record.
     const std::string &text = id.text();
     return "status/" + text.substr(0, text.find('#'));
 }
@@ -25,7 +25,7 @@
 {
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
     if (json.is_discarded())
-        return Error{ErrorCode::ParseFailed, "not JSON", {}};
+        return Error{ErrorCode::ParseFailed, "the instance status is not valid JSON", {}};
     try {
         InstanceStatusRecord record;
         record.id = InstanceId(json.at("instance").get<std::string>());
@@ -34,7 +34,8 @@
         record.leaving = json.at("leaving").get<bool>();
         return record;
     } catch (const nlohmann::json::exception &) {
-        return Error{ErrorCode::SchemaViolation, "not the status of an instance", {}};
+        return Error{
+            ErrorCode::SchemaViolation, "the instance status has missing or invalid fields", {}};
     }
 }
 
--- a/src/store/store_codec.cpp
+++ b/src/store/store_codec.cpp
@@ -14,8 +14,8 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusConflict = 412;
-constexpr unsigned statusTooLong = 413;
-constexpr unsigned statusTooMany = 429;
+constexpr unsigned statusContentTooLarge = 413;
+constexpr unsigned statusTooManyRequests = 429;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned firstServerError = 500;
 
@@ -24,8 +24,8 @@
     return {ErrorCode::Unavailable, std::move(text), {}};
 }
 
-/// The answer, or Unavailable.
-Result<HttpAnswer> answered(const HttpResult &result)
+/// The HTTP response, or Unavailable if there was none.
+Result<HttpAnswer> responseOrError(const HttpResult &result)
 {
     if (const auto *answer = std::get_if<HttpAnswer>(&result))
         return *answer;
@@ -34,11 +34,11 @@
 
 Error unexpectedStatus(const HttpAnswer &answer)
 {
-    return unavailable("status " + std::to_string(answer.status));
+    return unavailable("store answered with HTTP status " + std::to_string(answer.status));
 }
 
-/// The number in `"<number>"`.
-std::optional<ObjectVersion> versionOf(std::string_view etag)
+/// Parses an ETag of the form `"<version>"`.
+std::optional<ObjectVersion> parseVersion(std::string_view etag)
 {
     if (etag.size() < 3 || etag.front() != '"' || etag.back() != '"')
         return std::nullopt;
@@ -50,11 +50,11 @@
     return version;
 }
 
-/// Reads a JSON body by a function that may throw; a body that does not fit is Unavailable.
+/// Decodes a JSON body. Returns Unavailable if `read` throws a JSON exception.
 template <typename T, typename Read>
 Result<T> readBody(const HttpResult &result, Read read)
 {
-    const Result<HttpAnswer> answer = answered(result);
+    const Result<HttpAnswer> answer = responseOrError(result);
     if (!answer)
         return answer.error();
     if (answer->status != statusOk)
@@ -62,11 +62,11 @@
     try {
         return read(Json::parse(answer->body));
     } catch (const nlohmann::json::exception &) {
-        return unavailable("the answer of the store does not fit its description");
+        return unavailable("the store's response has an unexpected format");
     }
 }
 
-StoreObject objectFrom(const Json &json)
+StoreObject parseObject(const Json &json)
 {
     StoreObject object;
     object.path = json.at("path").get<std::string>();
@@ -75,7 +75,7 @@
     return object;
 }
 
-ListedInstance instanceFrom(const Json &json)
+ListedInstance parseInstance(const Json &json)
 {
     ListedInstance instance;
     instance.id = json.at("id").get<std::string>();
@@ -86,28 +86,27 @@
     return instance;
 }
 
-/// The error of an update that was answered without success.
-Error refusedWrite(const HttpAnswer &answer)
+/// The error for an update whose response status is not 200.
+Error writeError(const HttpAnswer &answer)
 {
     switch (answer.status) {
     case statusConflict: {
-        const std::optional<ObjectVersion> present = versionOf(answer.etag);
-        const std::string text = present
-            ? "the object has version " + std::to_string(present->value)
-            : "the object does not exist";
+        const std::optional<ObjectVersion> actual = parseVersion(answer.etag);
+        const std::string text = actual ? "the object has version " + std::to_string(actual->value)
+                                        : "the object does not exist";
         return {ErrorCode::Conflict, text, {}};
     }
-    case statusTooLong:
-        return {ErrorCode::LimitExceeded, "the value is too long", {}};
-    case statusTooMany:
+    case statusContentTooLarge:
+        return {ErrorCode::LimitExceeded, "the value exceeds the store's size limit", {}};
+    case statusTooManyRequests:
     case statusUnavailable:
         return unexpectedStatus(answer);
     default:
         break;
     }
-    const bool refused = answer.status >= 400 && answer.status < firstServerError;
-    return {refused ? ErrorCode::Internal : ErrorCode::UnknownResult,
-            "status " + std::to_string(answer.status),
+    const bool isClientError = answer.status >= 400 && answer.status < firstServerError;
+    return {isClientError ? ErrorCode::Internal : ErrorCode::UnknownResult,
+            "store answered with HTTP status " + std::to_string(answer.status),
             {}};
 }
 
@@ -115,20 +114,20 @@
 
 Result<StoreObject> readObject(const std::string &path, const HttpResult &result)
 {
-    Result<HttpAnswer> answer = answered(result);
+    Result<HttpAnswer> answer = responseOrError(result);
     if (!answer)
         return answer.error();
     if (answer->status == statusNotFound)
-        return Error{ErrorCode::NotFound, "no object " + path, {}};
+        return Error{ErrorCode::NotFound, "no such object: " + path, {}};
     if (answer->status != statusOk)
         return unexpectedStatus(*answer);
-    const std::optional<ObjectVersion> version = versionOf(answer->etag);
+    const std::optional<ObjectVersion> version = parseVersion(answer->etag);
     if (!version)
-        return unavailable("the answer has no version");
+        return unavailable("the store's response has no valid ETag");
     return StoreObject{path, *version, std::move(answer->body)};
 }
 
-Result<ObjectVersion> readWritten(const HttpResult &result)
+Result<ObjectVersion> readPutResult(const HttpResult &result)
 {
     if (const auto *failure = std::get_if<HttpFailure>(&result)) {
         const ErrorCode code = failure->sent ? ErrorCode::UnknownResult : ErrorCode::Unavailable;
@@ -136,10 +135,10 @@
     }
     const auto &answer = std::get<HttpAnswer>(result);
     if (answer.status != statusOk)
-        return refusedWrite(answer);
-    const std::optional<ObjectVersion> version = versionOf(answer.etag);
+        return writeError(answer);
+    const std::optional<ObjectVersion> version = parseVersion(answer.etag);
     if (!version)
-        return Error{ErrorCode::UnknownResult, "the answer has no version", {}};
+        return Error{ErrorCode::UnknownResult, "the store's response has no valid ETag", {}};
     return *version;
 }
 
@@ -150,7 +149,7 @@
         changes.revision = json.at("revision").get<std::uint64_t>();
         changes.complete = json.at("complete").get<bool>();
         for (const Json &object : json.at("objects"))
-            changes.objects.push_back(objectFrom(object));
+            changes.objects.push_back(parseObject(object));
         return changes;
     });
 }
@@ -160,7 +159,7 @@
     return readBody<std::vector<ListedInstance>>(result, [](const Json &json) {
         std::vector<ListedInstance> instances;
         for (const Json &instance : json.at("instances"))
-            instances.push_back(instanceFrom(instance));
+            instances.push_back(parseInstance(instance));
         return instances;
     });
 }
--- a/src/store/store_codec.hpp
+++ b/src/store/store_codec.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Turns answers of the store into results.
+/// \brief Decodes HTTP responses of the store.
 #pragma once
 
 #include "store/http_connection.hpp"
@@ -7,7 +7,7 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Longest value that the store holds.
+/// \brief Longest value that the store accepts.
 inline constexpr std::size_t maxValueBytes = 1000000;
 
 /// \name Results of calls
@@ -15,7 +15,7 @@
 /// \brief Result of reading an object.
 [[nodiscard]] Result<StoreObject> readObject(const std::string &path, const HttpResult &result);
 /// \brief Result of a conditional update.
-[[nodiscard]] Result<ObjectVersion> readWritten(const HttpResult &result);
+[[nodiscard]] Result<ObjectVersion> readPutResult(const HttpResult &result);
 /// \brief Result of a watch.
 [[nodiscard]] Result<StoreChanges> readChanges(const HttpResult &result);
 /// \brief Result of reading the list of instances.
--- a/src/store/token_bucket.hpp
+++ b/src/store/token_bucket.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Limits the rate of calls.
+/// \brief Token bucket for rate limiting.
 #pragma once
 
 #include "yuccaspan/clock.hpp"
@@ -14,15 +14,15 @@
 {
 public:
     /// \brief Creates a full bucket.
-    /// \param perSecond Tokens added in a second.
-    /// \param capacity Most tokens held; at least one.
+    /// \param perSecond Tokens added per second.
+    /// \param capacity Maximum number of tokens; raised to 1 if lower.
     TokenBucket(double perSecond, double capacity) noexcept
         : m_perSecond(perSecond), m_capacity(std::max(1.0, capacity)), m_tokens(m_capacity)
     { }
 
-    /// \brief Takes one token.
-    /// \returns Whether there was one.
-    [[nodiscard]] bool take(TimePoint now) noexcept
+    /// \brief Takes one token if there is one.
+    /// \returns Whether a token was taken.
+    [[nodiscard]] bool tryTake(TimePoint now) noexcept
     {
         if (m_last == TimePoint{})
             m_last = now;
--- a/tests/store/fake_http_server.cpp
+++ b/tests/store/fake_http_server.cpp
@@ -16,8 +16,9 @@
 
 struct FakeHttpServer::Impl
 {
-    explicit Impl(Script given)
-        : script(std::move(given)), acceptor(context, {asio::ip::address_v4::loopback(), 0})
+    explicit Impl(Script responseScript)
+        : script(std::move(responseScript)),
+          acceptor(context, {asio::ip::address_v4::loopback(), 0})
     {
         thread = std::thread([this] { acceptAll(); });
     }
@@ -49,10 +50,10 @@
     {
         boost::beast::flat_buffer buffer;
         boost::system::error_code failure;
-        for (bool goesOn = true; goesOn;) {
+        for (bool keepOpen = true; keepOpen;) {
             http::request<http::string_body> request;
             http::read(socket, buffer, request, failure);
-            goesOn = !failure && answer(socket, request, number);
+            keepOpen = !failure && answer(socket, request, number);
         }
         socket.shutdown(tcp::socket::shutdown_both, failure);
         ++closed;
@@ -61,15 +62,15 @@
 
     bool answer(tcp::socket &socket, const http::request<http::string_body> &request, int number)
     {
-        SeenRequest seen{std::string(request.method_string()),
-                         std::string(request.target()),
-                         std::string(request["X-Instance"]),
-                         std::string(request["If-Match"]),
-                         request.body(),
-                         number};
-        if (seen.condition.empty())
-            seen.condition = std::string(request["If-None-Match"]);
-        const std::optional<FakeAnswer> scripted = script(seen);
+        ReceivedRequest received{std::string(request.method_string()),
+                                 std::string(request.target()),
+                                 std::string(request["X-Instance"]),
+                                 std::string(request["If-Match"]),
+                                 request.body(),
+                                 number};
+        if (received.condition.empty())
+            received.condition = std::string(request["If-None-Match"]);
+        const std::optional<FakeResponse> scripted = script(received);
         if (!scripted)
             return false;
         http::response<http::string_body> response(http::status(scripted->status), 11);
@@ -103,8 +104,8 @@
 
 void FakeHttpServer::awaitClosed(int connections)
 {
-    for (int seen = m_impl->closed; seen < connections; seen = m_impl->closed)
-        m_impl->closed.wait(seen);
+    for (int received = m_impl->closed; received < connections; received = m_impl->closed)
+        m_impl->closed.wait(received);
 }
 
 } // namespace yuccaspan
--- a/tests/store/fake_http_server.hpp
+++ b/tests/store/fake_http_server.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief A small HTTP server whose answers a test scripts.
+/// \brief HTTP server that answers with scripted responses.
 #pragma once
 
 #include <functional>
@@ -10,37 +10,38 @@
 
 namespace yuccaspan {
 
-/// \brief A request as the server got it.
-struct SeenRequest
+/// \brief A request that the server received.
+struct ReceivedRequest
 {
     std::string method;
     std::string target;
-    std::string instance; ///< X-Instance.
-    std::string condition; ///< If-Match, or If-None-Match.
+    std::string instance; ///< Value of the X-Instance header.
+    std::string condition; ///< Value of If-Match or else of If-None-Match.
     std::string body;
-    int connection = 0; ///< Counts connections from 1.
+    int connection = 0; ///< Number of the connection, from 1.
 };
 
-/// \brief A scripted answer.
-struct FakeAnswer
+/// \brief A scripted response.
+struct FakeResponse
 {
     unsigned status = 200;
     std::string etag;
     std::string body;
-    bool closeAfter = false; ///< Closes the connection after the answer, unannounced.
+    bool closeAfter =
+        false; ///< Closes the connection after the response without a Connection: close header.
 };
 
-/// \brief Runs a script for each request; nothing as answer closes the connection.
+/// \brief Calls a script for each request; closes the connection if it returns nullopt.
 class FakeHttpServer
 {
 public:
-    using Script = std::function<std::optional<FakeAnswer>(const SeenRequest &)>;
+    using Script = std::function<std::optional<FakeResponse>(const ReceivedRequest &)>;
 
     explicit FakeHttpServer(Script script);
     ~FakeHttpServer();
 
     [[nodiscard]] unsigned short port() const;
-    /// \brief Waits until the server has closed so many connections.
+    /// \brief Waits until the server has closed at least this many connections.
     void awaitClosed(int connections);
 
 private:
--- a/tests/store/test_backoff.cpp
+++ b/tests/store/test_backoff.cpp
@@ -11,7 +11,7 @@
 constexpr Duration initial = std::chrono::milliseconds(100);
 constexpr Duration limit = std::chrono::seconds(5);
 
-RC_GTEST_PROP(Backoff, StaysWithinItsBounds, (std::uint64_t seed))
+RC_GTEST_PROP(Backoff, DelayNeverExceedsDoublingBound, (std::uint64_t seed))
 {
     Backoff backoff(initial, limit, seed);
     Duration bound = initial;
@@ -25,7 +25,7 @@
     RC_ASSERT(backoff.failed() <= initial);
 }
 
-TEST(Backoff, SpreadsCallersThatFailedTogether)
+TEST(Backoff, DifferentSeedsSpreadDelaysEvenly)
 {
     constexpr std::size_t callers = 1000;
     constexpr std::size_t windows = 10;
