Plainer wording in the settings and their tests

Comments, doc comments and error texts of the settings reader, merge, validation and public headers are reworded. Error codes, JSON keys and the schema text stay. Two expected texts in test_settings_check follow the messages and are as strict as before ("already used by target \"t1\"", "newer than this program supports").

Renames, all within these files: forgetPlaces -> erasePlaces, patchPlaces -> mergePlaces, covers -> isPathPrefix, isUnderPrefix -> hasPathPrefix, checkShares -> checkConnectionCounts, longestQuote -> maxQuotedBytes, isTooSmall -> hasTooFewMembers; tests are named after what they check.

The comparison without comments shows no change of structure, no marked literal and no many-to-one rename for these files; changed literals are error, help and output texts.

--- a/include/yuccaspan/settings.hpp
+++ b/include/yuccaspan/settings.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// \brief The settings that operators write: availability zones, services, targets, request rules.
 ///
-/// Every field has its JSON name; docs/SETTINGS.md gives units, ranges and defaults.
+/// docs/SETTINGS.md lists the JSON names, units, ranges and defaults of all fields.
 #pragma once
 
 #include "yuccaspan/clock.hpp"
@@ -15,7 +15,7 @@
 
 namespace yuccaspan {
 
-/// \brief Version of the settings' schema that this program reads and writes.
+/// \brief Version of the settings schema that this program reads and writes.
 inline constexpr int settingsSchemaVersion = 1;
 
 /// \brief Where a request carries its key.
@@ -37,7 +37,7 @@
 
 /// \brief What happens to a cell whose home zone is cut off from the others.
 enum class CutOffPolicy {
-    Move, ///< The other zones take the cell over once the zone's authority has lapsed.
+    Move, ///< The other zones take over the cell once the zone's authority has expired.
     Hold, ///< The zone keeps its keys as long as its own instances agree.
 };
 
@@ -56,7 +56,7 @@
     ZoneId id; ///< Name of the zone.
     RegionId region; ///< Region the zone belongs to.
     bool out = false; ///< Taken out by operators: receives no new work.
-    bool stopped = false; ///< With `out`: operators vouch that nothing in the zone runs any more.
+    bool stopped = false; ///< With `out`: operators confirm that nothing runs in the zone.
 
     [[nodiscard]] friend bool operator==(const ZoneSettings &, const ZoneSettings &) = default;
 };
@@ -68,23 +68,23 @@
     ZoneId zone; ///< Availability zone it runs in.
     std::string address; ///< IP address, numeric.
     std::uint16_t port = 0; ///< TCP port.
-    std::uint32_t slots = 1; ///< Requests it can run at once.
-    std::uint32_t connections = 100; ///< Connections it accepts, over all instances.
-    bool checksGrants = true; ///< Refuses requests without a valid grant of its own accord.
-    bool drain = false; ///< Is leaving: its slices are moved off and it receives no new work.
+    std::uint32_t slots = 1; ///< Maximum number of concurrent requests.
+    std::uint32_t connections = 100; ///< Maximum number of connections, over all instances.
+    bool checksGrants = true; ///< The target itself rejects requests without a valid grant.
+    bool drain = false; ///< Draining: its slices move away and it receives no new work.
 
     [[nodiscard]] friend bool operator==(const TargetSettings &, const TargetSettings &) = default;
 };
 
-/// \brief A rule that says how requests of one kind are treated. The first match wins.
+/// \brief Defines how requests of one kind are handled. The first matching rule applies.
 struct RequestRule
 {
     std::string kind; ///< Name of the kind, used in metrics and logs.
     std::string method; ///< HTTP method to match; empty matches all.
     std::string path; ///< Path prefix to match, after the service's prefix; empty matches all.
-    bool repeatable = false; ///< Whether the request may be sent again after an unknown outcome.
+    bool repeatable = false; ///< Whether to retry a request with an unknown outcome.
     double worth = 1.0; ///< Weight of one request in service and queue order.
-    Duration deadline = std::chrono::seconds(1); ///< Time allowed unless the caller gives less.
+    Duration deadline = std::chrono::seconds(1); ///< Deadline unless the caller sets a shorter one.
     KeySource keySource = KeySource::Header; ///< Where the key is.
     std::string keyName; ///< Header or query parameter; unused for a path segment.
     std::uint32_t keySegment = 0; ///< Index of the path segment, from 0.
@@ -92,22 +92,22 @@
     [[nodiscard]] friend bool operator==(const RequestRule &, const RequestRule &) = default;
 };
 
-/// \brief A service: its targets, its rules and its limits.
+/// \brief Targets, rules and limits of a service.
 struct ServiceSettings
 {
     ServiceName name; ///< Name of the service.
     std::string pathPrefix; ///< First path segments that select the service, as in "/depot-stock".
     CutOffPolicy whenCutOff = CutOffPolicy::Move; ///< See CutOffPolicy.
-    std::uint32_t cellsPerZone = 1; ///< Cells the key space has in each zone when it is created.
-    std::uint32_t slicesPerTarget = 8; ///< Slices for each target when the key space is created.
-    std::uint32_t maxSlicesPerCell = 4096; ///< Bound on splitting.
-    std::uint64_t requestLimitBytes = 1U << 20U; ///< Longest request body.
-    std::uint64_t answerLimitBytes = 4U << 20U; ///< Longest answer body.
-    std::uint32_t queueLimit = 64; ///< Requests that may wait for one target at one instance.
-    double repeatBudget = 0.1; ///< Repeats as a share of first tries, 0 to 1.
-    double coldAllowance = 0.1; ///< Share of a starting target's slots used at first, 0 to 1.
+    std::uint32_t cellsPerZone = 1; ///< Initial number of cells per zone.
+    std::uint32_t slicesPerTarget = 8; ///< Initial number of slices per target.
+    std::uint32_t maxSlicesPerCell = 4096; ///< Maximum number of slices per cell; limits splitting.
+    std::uint64_t requestLimitBytes = 1U << 20U; ///< Maximum size of a request body.
+    std::uint64_t answerLimitBytes = 4U << 20U; ///< Maximum size of an answer body.
+    std::uint32_t queueLimit = 64; ///< Maximum queue length per target and instance.
+    double repeatBudget = 0.1; ///< Retries as a fraction of first attempts, 0 to 1.
+    double coldAllowance = 0.1; ///< Initial share of slots used on a cold target, 0 to 1.
     std::vector<TargetSettings> targets; ///< In the order of their names.
-    std::vector<RequestRule> rules; ///< In the order in which they are tried.
+    std::vector<RequestRule> rules; ///< In matching order.
 
     /// \brief The first rule that matches a request, or null.
     /// \param method The HTTP method.
@@ -120,10 +120,10 @@
                                          const ServiceSettings &) = default;
 };
 
-/// \brief One version of all settings.
+/// \brief One version of the complete settings.
 struct Settings
 {
-    ObjectVersion version; ///< Version in the store; 0 if it was not read from there.
+    ObjectVersion version; ///< Version in the store; 0 if not read from the store.
     std::vector<ZoneSettings> zones; ///< In the order of their names.
     std::vector<ServiceSettings> services; ///< In the order of their names.
 
@@ -137,7 +137,7 @@
     [[nodiscard]] const ServiceSettings *findServiceByPath(std::string_view path) const noexcept;
     /// \brief The target of that name in any service, or null.
     [[nodiscard]] const TargetSettings *findTarget(const TargetId &id) const noexcept;
-    /// \brief Whether new work may go to the target: neither it is drained nor its zone taken out.
+    /// \brief Whether the target may receive new work: it is not drained and its zone is not out.
     [[nodiscard]] bool mayReceiveWork(const TargetSettings &target) const noexcept;
     /// @}
 
--- a/include/yuccaspan/settings_io.hpp
+++ b/include/yuccaspan/settings_io.hpp
@@ -1,9 +1,9 @@
 /// \file
-/// \brief Reads, merges, checks and writes settings as JSON.
+/// \brief Reads, merges, validates and writes settings as JSON.
 ///
 /// Operators keep settings in a folder of JSON files, which are merged in the order of their names
-/// by RFC 7396 (JSON Merge Patch). The merged document is checked against a JSON Schema and then by
-/// rules that a schema cannot express. docs/SETTINGS.md describes every key.
+/// as JSON Merge Patches (RFC 7396). The merged document is checked against a JSON Schema and then
+/// by rules that a schema cannot express. docs/SETTINGS.md describes every key.
 #pragma once
 
 #include "yuccaspan/result.hpp"
@@ -24,24 +24,24 @@
 struct SettingsFile
 {
     std::string name; ///< File name without its folder.
-    std::string text; ///< Its content.
+    std::string text; ///< Content of the file.
 };
 
-/// \brief Settings that passed every check, and the merged document they were read from.
+/// \brief Valid settings and the merged document from which they were read.
 struct LoadedSettings
 {
     Settings settings; ///< The settings; their version is 0.
     std::string document; ///< The merged document, with sorted keys.
 };
 
-/// \brief Checked settings, or every error that was found.
+/// \brief Valid settings, or all errors found.
 using SettingsResult = std::variant<LoadedSettings, std::vector<Error>>;
 
 /// \name Folders of settings
 /// @{
 /// \brief Merges files in the order of their names and checks the result.
 /// \param files The files, in any order.
-/// \returns The settings, or all errors. Each names the file that set the value last.
+/// \returns The settings, or all errors. Each error names the file that last set the value.
 [[nodiscard]] SettingsResult mergeSettings(std::vector<SettingsFile> files);
 
 /// \brief Reads the files `*.json` of a folder, merges them and checks the result.
--- a/src/settings/document.cpp
+++ b/src/settings/document.cpp
@@ -13,7 +13,7 @@
 
 constexpr double microsecondsPerMillisecond = 1000;
 
-/// One field of a record: its JSON name and its member.
+/// JSON name and member pointer of a field.
 template <typename Record>
 struct Field
 {
@@ -85,7 +85,7 @@
     }};
 };
 
-/// \name Reading of one value; a value of the wrong type changes nothing
+/// \name Reading one value; values of the wrong type are ignored
 /// @{
 void readValue(const Json &json, bool &value)
 {
@@ -124,8 +124,8 @@
 
 void readValue(const Json &json, Duration &value)
 {
-    constexpr double longestMs = 1e9;
-    if (!json.is_number() || std::abs(json.get<double>()) > longestMs)
+    constexpr double maxMs = 1e9;
+    if (!json.is_number() || std::abs(json.get<double>()) > maxMs)
         return;
     value = Duration(std::llround(json.get<double>() * microsecondsPerMillisecond));
 }
@@ -138,7 +138,7 @@
 }
 /// @}
 
-/// \name Writing of one value
+/// \name Writing one value
 /// @{
 template <typename Value>
 Json writeValue(const Value &value)
@@ -186,7 +186,7 @@
     return json;
 }
 
-/// Calls a function with each member of an object, in the order of the names.
+/// Calls a function for each member of an object, ordered by name.
 template <typename Function>
 void forEachMember(const Json &json, const char *name, Function function)
 {
--- a/src/settings/document.hpp
+++ b/src/settings/document.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Turns a settings document into Settings and back, by tables of fields.
+/// \brief Converts between settings documents and Settings, driven by tables of fields.
 #pragma once
 
 #include "settings/json_reader.hpp"
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Finds lines and columns. Fast when asked for ever later bytes.
+/// Converts byte offsets to lines and columns. Efficient for increasing offsets.
 class LineCounter
 {
 public:
@@ -38,7 +38,7 @@
     std::size_t m_lineStart = 0;
 };
 
-/// Offset of the opening quote of a string that ends just before `end`.
+/// Offset of the opening quote of the string literal that ends just before `end`.
 std::size_t openingQuote(std::string_view text, std::size_t end)
 {
     if (end < 2)
@@ -55,7 +55,7 @@
     return 0;
 }
 
-/// Receives the parser's events: builds the document and notes the place of each member.
+/// SAX handler that builds the document and records the location of each member.
 class PlaceRecorder final : public nlohmann::json_sax<Json>
 {
 public:
@@ -84,7 +84,7 @@
     bool string(string_t &value) override
     {
         if (value.size() > maxJsonStringBytes)
-            return fail(ErrorCode::LimitExceeded, "string is longer than 4096 bytes");
+            return fail(ErrorCode::LimitExceeded, "the string is longer than 4096 bytes");
         return addScalar(std::move(value));
     }
     bool start_object(std::size_t /*size*/) override { return open(Json::object()); }
@@ -135,7 +135,7 @@
     bool open(Json &&empty)
     {
         if (m_levels.size() >= maxJsonDepth)
-            return fail(ErrorCode::LimitExceeded, "nested deeper than 32 levels");
+            return fail(ErrorCode::LimitExceeded, "the document is nested deeper than 32 levels");
         const std::string pointer = nextPointer();
         m_levels.push_back({add(std::move(empty)), pointer});
         return true;
@@ -168,13 +168,13 @@
 bool PlaceRecorder::key(string_t &name)
 {
     if (name.size() > maxJsonStringBytes)
-        return fail(ErrorCode::LimitExceeded, "key is longer than 4096 bytes");
+        return fail(ErrorCode::LimitExceeded, "the key is longer than 4096 bytes");
     m_key = name;
     const std::string pointer = nextPointer();
     SourcePlace place = m_lines.place(openingQuote(m_text, offset()));
     place.pointer = pointer;
     if (m_levels.back().container->contains(name))
-        m_result.errors.push_back({ErrorCode::ParseFailed, "key is given twice", place});
+        m_result.errors.push_back({ErrorCode::ParseFailed, "duplicate key", place});
     m_result.places[pointer] = std::move(place);
     return true;
 }
@@ -196,13 +196,13 @@
 std::string childPointer(const std::string &parent, std::string_view key)
 {
     std::string pointer = parent + '/';
-    for (const char letter : key) {
-        if (letter == '~')
+    for (const char character : key) {
+        if (character == '~')
             pointer += "~0";
-        else if (letter == '/')
+        else if (character == '/')
             pointer += "~1";
         else
-            pointer += letter;
+            pointer += character;
     }
     return pointer;
 }
@@ -211,8 +211,9 @@
 {
     if (text.size() > maxDocumentBytes) {
         ParsedJson tooLong;
-        tooLong.errors.push_back(
-            {ErrorCode::LimitExceeded, "longer than 1000000 bytes", {file, "", 0, 0}});
+        tooLong.errors.push_back({ErrorCode::LimitExceeded,
+                                  "the document is longer than 1000000 bytes",
+                                  {file, "", 0, 0}});
         return tooLong;
     }
     std::istringstream stream{std::string(text)};
--- a/src/settings/json_reader.hpp
+++ b/src/settings/json_reader.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Reads JSON and remembers where each value stands.
+/// \brief Parses JSON and records the source location of each value.
 #pragma once
 
 #include "yuccaspan/error.hpp"
@@ -15,30 +15,30 @@
 
 using Json = nlohmann::json;
 
-/// \brief Deepest nesting of a document.
+/// \brief Maximum nesting depth of a document.
 inline constexpr std::size_t maxJsonDepth = 32;
-/// \brief Longest string of a document, in bytes.
+/// \brief Maximum length of a string in a document, in bytes.
 inline constexpr std::size_t maxJsonStringBytes = 4096;
-/// \brief Longest document, in bytes; the store holds up to a megabyte.
+/// \brief Maximum size of a document, in bytes. The store accepts values up to this size.
 inline constexpr std::size_t maxDocumentBytes = 1000000;
 
-/// \brief Places of values by JSON pointer.
+/// \brief Source locations of values by JSON pointer.
 using PlaceMap = std::map<std::string, SourcePlace>;
 
-/// \brief A document with the places of its values, or errors.
+/// \brief A document with the source locations of its values, or errors.
 struct ParsedJson
 {
     Json value; ///< The document; null if there are errors.
-    PlaceMap places; ///< Place of each member of an object, and of the root.
-    std::vector<Error> errors; ///< Everything that is wrong with the text.
+    PlaceMap places; ///< Location of the root and of each object member.
+    std::vector<Error> errors; ///< All errors in the text.
 };
 
-/// \brief Reads a document. Duplicate keys are errors.
-/// \param file File name for the places; may be empty.
+/// \brief Parses a document. Duplicate keys are errors.
+/// \param file File name for the source locations; may be empty.
 /// \param text The text.
 [[nodiscard]] ParsedJson parseJson(const std::string &file, std::string_view text);
 
-/// \brief A JSON pointer one step longer.
+/// \brief Appends a key to a JSON pointer and escapes it.
 [[nodiscard]] std::string childPointer(const std::string &parent, std::string_view key);
 
 } // namespace yuccaspan::impl
--- a/src/settings/rules.cpp
+++ b/src/settings/rules.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// What a rule checks, and where it reports.
+/// The input of the validation rules and the errors that they report.
 class Check
 {
 public:
@@ -56,8 +56,8 @@
     std::vector<Error> m_errors;
 };
 
-/// Whether a path lies under a prefix, at a segment boundary.
-bool covers(const std::string &prefix, const std::string &path)
+/// Whether a path starts with a prefix that ends at a segment boundary.
+bool isPathPrefix(const std::string &prefix, const std::string &path)
 {
     if (!path.starts_with(prefix))
         return false;
@@ -119,7 +119,7 @@
             return;
         check.report(check.pointer(service, target) + "/port",
                      target.address + " port " + std::to_string(target.port)
-                         + " is already that of target \"" + user->second.text() + "\"");
+                         + " is already used by target \"" + user->second.text() + "\"");
     });
 }
 
@@ -131,12 +131,12 @@
         if (isFirst)
             return;
         check.report(check.pointer(service, target),
-                     "a target of that name belongs to service \"" + owner->second.text()
-                         + "\": expected a name that is unique over all services");
+                     "a target with this name exists in service \"" + owner->second.text()
+                         + "\": expected a name that is unique across all services");
     });
 }
 
-void checkShares(Check &check)
+void checkConnectionCounts(Check &check)
 {
     forEachTarget(check.settings(), [&](const auto &service, const auto &target) {
         if (target.connections >= target.slots)
@@ -193,7 +193,7 @@
     }
 }
 
-/// Reports rules whose paths all select another service, by its longer prefix.
+/// Reports rules that match nothing because a longer prefix selects another service.
 void checkHiddenPaths(Check &check)
 {
     forEachRule(check.settings(), [&](const auto &service, const auto &rule, std::size_t index) {
@@ -202,7 +202,7 @@
         const std::string whole = service.pathPrefix + rule.path;
         for (const ServiceSettings &other : check.settings().services) {
             const bool isLonger = other.pathPrefix.size() > service.pathPrefix.size();
-            if (isLonger && covers(other.pathPrefix, whole))
+            if (isLonger && isPathPrefix(other.pathPrefix, whole))
                 check.report(check.rulePointer(service, index) + "/path",
                              "matches nothing: \"" + whole + "\" selects service \""
                                  + other.name.text() + "\"");
@@ -224,7 +224,7 @@
 bool shadows(const RequestRule &earlier, const RequestRule &later)
 {
     const bool method = earlier.method.empty() || earlier.method == later.method;
-    return method && covers(earlier.path, later.path);
+    return method && isPathPrefix(earlier.path, later.path);
 }
 
 void checkShadowedRules(Check &check)
@@ -306,7 +306,7 @@
     checkSliceBounds,
     checkTargetZones,
     checkTargetAddresses,
-    checkShares,
+    checkConnectionCounts,
     checkServableZones,
     checkDuplicateAddresses,
     checkDuplicateTargets,
--- a/src/settings/rules.hpp
+++ b/src/settings/rules.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Rules on settings that a schema cannot express.
+/// \brief Validation rules that a JSON Schema cannot express.
 #pragma once
 
 #include "settings/json_reader.hpp"
@@ -7,10 +7,10 @@
 
 namespace yuccaspan::impl {
 
-/// \brief Checks settings by all rules.
-/// \param settings The settings, as read from the document.
+/// \brief Validates settings against all rules.
+/// \param settings The settings read from the document.
 /// \param document The document, for the names of request rules.
-/// \returns All errors; places hold pointers only.
+/// \returns All errors. Their locations contain only JSON pointers.
 [[nodiscard]] std::vector<Error> checkRules(const Settings &settings, const Json &document);
 
 } // namespace yuccaspan::impl
--- a/src/settings/schema_check.cpp
+++ b/src/settings/schema_check.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-constexpr std::size_t longestQuote = 60; // bytes of a value shown in a message
+constexpr std::size_t maxQuotedBytes = 60; // bytes of a value quoted in an error message
 
-/// The schema as JSON, and as valijson's tree.
+/// The schema as JSON and in valijson's representation.
 struct CompiledSchema
 {
     Json text = Json::parse(settingsSchema());
@@ -37,7 +37,7 @@
     return schema;
 }
 
-/// Follows a local reference.
+/// Resolves a local `$ref`.
 const Json &resolve(const Json &schema)
 {
     const auto reference = schema.find("$ref");
@@ -47,7 +47,7 @@
     return compiledSchema().text.at(Json::json_pointer(target));
 }
 
-/// The part of the schema for a member of an object, or null.
+/// The subschema for a member of an object, or null.
 const Json *memberSchema(const Json &schema, const std::string &key)
 {
     const auto properties = schema.find("properties");
@@ -59,7 +59,7 @@
     return nullptr;
 }
 
-/// The range of a number, as words.
+/// The range of a number, for error messages.
 std::string rangeText(const Json &schema)
 {
     std::string text;
@@ -72,7 +72,7 @@
     return text;
 }
 
-/// What the schema expects of a value, as words.
+/// The values that the schema accepts, for error messages.
 std::string expectedText(const Json &schema)
 {
     const std::string type = schema.value("type", "value");
@@ -91,7 +91,7 @@
     return "an object";
 }
 
-/// A value as shown in a message.
+/// A value as quoted in error messages.
 std::string quoted(const Json &value)
 {
     if (value.is_object())
@@ -99,18 +99,18 @@
     if (value.is_array())
         return "an array";
     std::string text = value.dump(-1, ' ', true, Json::error_handler_t::replace);
-    if (text.size() > longestQuote)
-        text = text.substr(0, longestQuote) + "...";
+    if (text.size() > maxQuotedBytes)
+        text = text.substr(0, maxQuotedBytes) + "...";
     return text;
 }
 
-/// Collects what is wrong with one value that the validator rejected.
+/// Creates error messages for the values that the validator rejected.
 class Explainer
 {
 public:
     explicit Explainer(const Json &document) : m_document(document) { }
 
-    /// Adds the errors of the value that a validation context names.
+    /// Adds the errors of the value at a validation context.
     void explain(const std::vector<std::string> &context)
     {
         const Json *value = &m_document;
@@ -124,11 +124,11 @@
             schema = memberSchema(*schema, key);
             pointer = childPointer(pointer, key);
         }
-        if (schema != nullptr && m_seen.insert(pointer).second)
+        if (schema != nullptr && m_reportedPointers.insert(pointer).second)
             describe(*value, *schema, pointer);
     }
 
-    /// Adds the names that do not match, of which the validator gives no context.
+    /// Adds errors for invalid member names; the validator gives no context for these.
     void explainNames(const Json &value, const Json &schema, const std::string &pointer)
     {
         if (!value.is_object())
@@ -146,7 +146,7 @@
     void describe(const Json &value, const Json &schema, const std::string &pointer)
     {
         const bool isContainer = schema.value("type", "") == "object";
-        if (!isContainer || !value.is_object() || isTooSmall(value, schema))
+        if (!isContainer || !value.is_object() || hasTooFewMembers(value, schema))
             return add(pointer, "expected " + expectedText(schema) + ", found " + quoted(value));
         describeMissing(value, schema, pointer);
         describeUnknown(value, schema, pointer);
@@ -156,7 +156,7 @@
                     + std::to_string(value.size()));
     }
 
-    static bool isTooSmall(const Json &value, const Json &schema)
+    static bool hasTooFewMembers(const Json &value, const Json &schema)
     {
         return schema.contains("minProperties") && value.size() < schema["minProperties"];
     }
@@ -189,8 +189,9 @@
         const Json &names = schema["propertyNames"];
         const std::regex pattern(names["pattern"].get<std::string>());
         for (const auto &[key, member] : value.items()) {
-            const bool fits = key.size() <= names["maxLength"] && std::regex_search(key, pattern);
-            if (!fits)
+            const bool isValid =
+                key.size() <= names["maxLength"] && std::regex_search(key, pattern);
+            if (!isValid)
                 add(childPointer(pointer, key),
                     "expected a name of at most " + names["maxLength"].dump() + " bytes matching "
                         + names["pattern"].get<std::string>());
@@ -212,11 +213,11 @@
     }
 
     const Json &m_document;
-    std::set<std::string> m_seen;
+    std::set<std::string> m_reportedPointers;
     std::vector<Error> m_errors;
 };
 
-/// Whether a message only says that a value further inside is wrong.
+/// Whether a message only reports that a nested value is invalid.
 bool isConsequence(const std::string &description)
 {
     return description.starts_with("Failed to validate against schema associated")
@@ -240,7 +241,8 @@
     explainer.explainNames(document, compiledSchema().text, "");
     std::vector<Error> errors = explainer.take();
     if (errors.empty())
-        errors.push_back({ErrorCode::SchemaViolation, "does not match the schema", {}});
+        errors.push_back(
+            {ErrorCode::SchemaViolation, "the document does not match the schema", {}});
     return errors;
 }
 
--- a/src/settings/settings_io.cpp
+++ b/src/settings/settings_io.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-/// An error if the document was written for a newer schema.
+/// Returns an error if the document uses a newer schema version.
 std::vector<Error> checkSchemaVersion(const Json &document)
 {
     const auto schema = document.find("schema");
@@ -24,11 +24,11 @@
     if (!isNewer)
         return {};
     return {{ErrorCode::UnsupportedSchema,
-             "schema " + schema->dump() + " is newer than this program: expected 1",
+             "schema " + schema->dump() + " is newer than this program supports: expected 1",
              {"", "/schema", 0, 0}}};
 }
 
-/// Whether an error lies at or inside a value that another error is about.
+/// Whether an error is located at or below the value of another error.
 bool isInside(const Error &inner, const Error &outer)
 {
     const std::string &pointer = outer.place.pointer;
@@ -38,20 +38,20 @@
         || inner.place.pointer[pointer.size()] == '/';
 }
 
-/// Adds errors that do not follow from those already found.
+/// Adds errors that are not caused by those already found.
 void addIndependent(std::vector<Error> &errors, std::vector<Error> more)
 {
     const std::vector<Error> known = errors;
     for (Error &error : more) {
-        const bool follows = std::ranges::any_of(known, [&](const Error &outer) {
+        const bool isConsequence = std::ranges::any_of(known, [&](const Error &outer) {
             return !outer.place.pointer.empty() && isInside(error, outer);
         });
-        if (!follows)
+        if (!isConsequence)
             errors.push_back(std::move(error));
     }
 }
 
-/// Checks a merged document and fills in the places of the errors.
+/// Validates a merged document and adds source locations to the errors.
 SettingsResult checkMerged(const MergedJson &merged)
 {
     std::vector<Error> errors = checkSchemaVersion(merged.value);
@@ -76,7 +76,7 @@
     if (stream)
         file.text.assign(std::istreambuf_iterator<char>(stream), {});
     if (!stream || stream.bad())
-        return Error{ErrorCode::NotFound, "cannot be read", {file.name, "", 0, 0}};
+        return Error{ErrorCode::NotFound, "cannot read the file", {file.name, "", 0, 0}};
     return file;
 }
 
@@ -101,7 +101,7 @@
         impl::ParsedJson parsed = impl::parseJson(file.name, file.text);
         if (parsed.errors.empty() && !parsed.value.is_object())
             parsed.errors.push_back({ErrorCode::SchemaViolation,
-                                     "expected an object at the top",
+                                     "expected a JSON object as the document's root",
                                      {file.name, "", 1, 1}});
         errors.insert(errors.end(), parsed.errors.begin(), parsed.errors.end());
         if (parsed.errors.empty())
@@ -132,8 +132,9 @@
     if (!errors.empty())
         return errors;
     if (files.empty())
-        return std::vector<Error>{
-            {ErrorCode::NotFound, "no file *.json in the folder", {folder.string(), "", 0, 0}}};
+        return std::vector<Error>{{ErrorCode::NotFound,
+                                   "the folder contains no *.json files",
+                                   {folder.string(), "", 0, 0}}};
     return mergeSettings(std::move(files));
 }
 
--- a/src/settings/settings_lookup.cpp
+++ b/src/settings/settings_lookup.cpp
@@ -6,8 +6,8 @@
 
 namespace impl {
 
-/// Whether a path lies under a prefix, at a segment boundary.
-bool isUnderPrefix(std::string_view path, std::string_view prefix) noexcept
+/// Whether a path starts with a prefix that ends at a segment boundary.
+bool hasPathPrefix(std::string_view path, std::string_view prefix) noexcept
 {
     if (!path.starts_with(prefix))
         return false;
@@ -23,7 +23,7 @@
 {
     const auto found = std::ranges::find_if(rules, [&](const RequestRule &rule) {
         const bool methodMatches = rule.method.empty() || rule.method == method;
-        return methodMatches && impl::isUnderPrefix(path, rule.path);
+        return methodMatches && impl::hasPathPrefix(path, rule.path);
     });
     return found == rules.end() ? nullptr : &*found;
 }
@@ -44,7 +44,7 @@
 {
     const ServiceSettings *best = nullptr;
     for (const ServiceSettings &service : services) {
-        if (!impl::isUnderPrefix(path, service.pathPrefix))
+        if (!impl::hasPathPrefix(path, service.pathPrefix))
             continue;
         if (best == nullptr || service.pathPrefix.size() > best->pathPrefix.size())
             best = &service;
--- a/tests/settings/test_settings_check.cpp
+++ b/tests/settings/test_settings_check.cpp
@@ -30,7 +30,7 @@
     return errors == nullptr ? std::vector<Error>{} : *errors;
 }
 
-/// Merges the base file and one that changes it.
+/// Merges the base file with a patch.
 SettingsResult withChange(const std::string &change)
 {
     return mergeSettings({{"90-change.json", change}, {"00-base.json", baseFile}});
@@ -69,7 +69,7 @@
     EXPECT_EQ(targets.at(0).port, 9001);
 }
 
-TEST(SettingsCheck, NamesTheFileThatSetTheValueLast)
+TEST(SettingsCheck, ErrorNamesLastFileThatSetValue)
 {
     const std::vector<Error> errors = errorsOf(withChange(R"({"services":{"stock":{
   "targets": {
@@ -119,9 +119,9 @@
     "path-segment"}},"targets":{"z1":{"zone":"a","address":"::1","port":1,"slots":1}}}}})";
 
 const RuleCase ruleCases[] = {
-    {"NewerSchema", R"({"schema":2})", "/schema", "newer than this program"},
+    {"NewerSchema", R"({"schema":2})", "/schema", "newer than this program supports"},
     {"DuplicateAddress", R"({"services":{"stock":{"targets":{"t2":{"port":9001}}}}})",
-     "/services/stock/targets/t2/port", "already that of target \"t1\""},
+     "/services/stock/targets/t2/port", "already used by target \"t1\""},
     {"HostName", R"({"services":{"stock":{"targets":{"t2":{"address":"localhost"}}}}})",
      "/services/stock/targets/t2/address", "numeric IP address"},
     {"PathCollision", otherService, "/services/zeta/pathPrefix", "already selects"},
@@ -159,7 +159,7 @@
 INSTANTIATE_TEST_SUITE_P(All, SettingsRules, testing::ValuesIn(ruleCases),
                          [](const auto &info) { return info.param.name; });
 
-TEST(SettingsCheck, PointsAtTheByteThatDoesNotParse)
+TEST(SettingsCheck, ParseErrorsHaveLineAndColumn)
 {
     const std::vector<Error> errors = errorsOf(mergeSettings({{"a.json", "{\n  \"zones\": }\n"},
                                                               {"b.json", "{\"x\":1,\n\"x\":2}"},
--- a/tests/settings/test_settings_doc.cpp
+++ b/tests/settings/test_settings_doc.cpp
@@ -18,7 +18,7 @@
     return json::parse(settingsSchema());
 }
 
-/// The parts of the schema, by the heading under which the page lists them.
+/// The parts of the schema by their headings in docs/SETTINGS.md.
 std::map<std::string, json> schemaParts()
 {
     const json schema = schemaDocument();
@@ -56,7 +56,7 @@
     return low + " to " + property["maximum"].dump();
 }
 
-/// The beginning and the end of the row that a property must have.
+/// The expected beginning and end of a property's table row.
 std::pair<std::string, std::string> expectedRow(const std::string &name, const json &part)
 {
     const json &property = part["properties"][name];
@@ -68,7 +68,7 @@
                 + property["description"].get<std::string>() + " |"};
 }
 
-TEST(SettingsPage, ListsExactlyTheKeysOfTheSchema)
+TEST(SettingsPage, ListsExactlyTheSchemaKeys)
 {
     std::ifstream page("docs/SETTINGS.md");
     ASSERT_TRUE(page) << "run from the project's root";
@@ -92,8 +92,8 @@
     }
 }
 
-/// Defaults of the schema are those of the structures.
-TEST(SettingsPage, DefaultsAreThoseOfTheProgram)
+/// The defaults in the schema equal those of the C++ structures.
+TEST(SettingsPage, SchemaDefaultsMatchStructures)
 {
     Settings settings;
     settings.zones.emplace_back();
@@ -148,7 +148,7 @@
     EXPECT_EQ(zones.size(), settings.zones.size());
 }
 
-TEST(Examples, HaveTheShapesOfTheDeployments)
+TEST(Examples, MatchDeploymentSizes)
 {
     const Settings kigali = readExample("examples/kigali");
     EXPECT_EQ(kigali.zones.size(), 3U);
@@ -160,7 +160,7 @@
     expectShape(batinah, {"depot-issue", 8, 2, 50});
 }
 
-TEST(Examples, RepeatOnlyWhatOnlyReads)
+TEST(Examples, OnlyGetRequestsAreRepeatable)
 {
     for (const char *folder : {"examples/kigali", "examples/batinah"}) {
         for (const ServiceSettings &service : readExample(folder).services) {
