Plainer wording in yuccaspanctl, the administration API and their tests

Comments, doc comments, help and error texts are reworded. Commands, flags, exit codes, error codes and JSON keys stay; no test or script matched the changed texts. Human-readable output that changed: "version N is unchanged" (was "stands, nothing to change"), "timed out waiting for the settings to be in force on:" (was "not in force in time on:"), "requested the move from URL" (was "move asked for at URL").

Renames, all within these files: askAny -> callFirstAvailable, askInstance -> queryInstance, waitIfAsked -> waitIfRequested, sameMemberChanged -> memberConflict, take -> readOption, firstDelay -> initialDelay, longestDelay -> maxDelay, hashFrom -> parseHash, isText -> hasString, forget -> removeSession, drainTime -> drainTimeout, drainStep -> drainChunkBytes, takeLag -> consumeLag, otherOperator -> changeAsOtherOperator; tests are named after what they check.

The comparison without comments shows no change of structure, no marked literal and no many-to-one rename for these files; changed literals are error, help and output texts.

--- a/src/admin/admin_json.cpp
+++ b/src/admin/admin_json.cpp
@@ -92,7 +92,7 @@
             {"openConnections", report.connections}};
 }
 
-std::optional<KeyHash> hashFrom(const std::string &text)
+std::optional<KeyHash> parseHash(const std::string &text)
 {
     KeyHash hash = 0;
     const char *end = text.data() + text.size();
@@ -204,22 +204,22 @@
     const Json json = Json::parse(body, nullptr, false);
     if (json.is_discarded())
         return Error{ErrorCode::ParseFailed, "the body is not JSON", {}};
-    const auto isText = [&](const char *name) {
+    const auto hasString = [&](const char *name) {
         return json.contains(name) && json[name].is_string();
     };
-    if (!json.is_object() || !isText("service") || !isText("to")
-        || !(isText("key") || isText("hash")))
+    if (!json.is_object() || !hasString("service") || !hasString("to")
+        || !(hasString("key") || hasString("hash")))
         return Error{
-            ErrorCode::SchemaViolation, "expected strings service, to, and key or hash", {}};
+            ErrorCode::SchemaViolation, "expected the strings service, to, and key or hash", {}};
     MoveOrder order;
     order.service = ServiceName(json["service"].get<std::string>());
     order.to = TargetId(json["to"].get<std::string>());
-    order.why = isText("why") ? json["why"].get<std::string>() : "asked for by an operator";
-    if (isText("key")) {
+    order.why = hasString("why") ? json["why"].get<std::string>() : "requested by an operator";
+    if (hasString("key")) {
         order.hash = hashKey(json["key"].get<std::string>());
         return order;
     }
-    const std::optional<KeyHash> hash = hashFrom(json["hash"].get<std::string>());
+    const std::optional<KeyHash> hash = parseHash(json["hash"].get<std::string>());
     if (!hash)
         return Error{ErrorCode::SchemaViolation, "expected hash as hexadecimal digits", {}};
     order.hash = *hash;
--- a/src/admin/admin_json.hpp
+++ b/src/admin/admin_json.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief JSON of the administration API.
+/// \brief JSON conversions of the administration API.
 #pragma once
 
 #include "yuccaspan/admin.hpp"
@@ -24,7 +24,7 @@
 [[nodiscard]] nlohmann::json errorJson(const Error &error);
 /// @}
 
-/// \brief Reads the body of `POST /v1/moves`.
+/// \brief Parses the body of `POST /v1/moves`.
 /// \returns The order, ParseFailed or SchemaViolation.
 [[nodiscard]] Result<MoveOrder> readMoveOrder(const std::string &body);
 
--- a/src/admin/admin_routes.cpp
+++ b/src/admin/admin_routes.cpp
@@ -17,7 +17,7 @@
     return answer;
 }
 
-/// Status code of an error.
+/// HTTP status code for an error.
 unsigned statusOf(ErrorCode code)
 {
     static constexpr std::array<std::pair<ErrorCode, unsigned>, 9> table{{
@@ -43,7 +43,7 @@
     return jsonAnswer(errorJson(error), statusOf(error.code));
 }
 
-/// Answers with a function of the settings in force.
+/// Calls a function with the settings in force; answers with an error if there are none yet.
 template <typename Function>
 AdminAnswer withSettings(AdminSource &source, Function function)
 {
@@ -120,7 +120,7 @@
     return answer;
 }
 
-/// A probe answers "ok", or 503 with the reason.
+/// Answers a probe with "ok", or with status 503 and the reason.
 AdminAnswer probeAnswer(const Status &status)
 {
     AdminAnswer answer;
@@ -154,7 +154,7 @@
     {"GET", "/readyz", serveReadiness},
 }};
 
-/// Undoes percent-encoding and reads a plus sign as a blank; wrong sequences stay as they are.
+/// Decodes percent-encoding and plus signs; invalid sequences stay unchanged.
 std::string decodeQuery(std::string_view text)
 {
     std::string decoded;
@@ -206,7 +206,7 @@
         allowed += (allowed.empty() ? "" : ", ") + std::string(endpoint.method);
     }
     if (allowed.empty())
-        return errorAnswer({ErrorCode::NotFound, "no such endpoint", {}});
+        return errorAnswer({ErrorCode::NotFound, "unknown endpoint", {}});
     AdminAnswer answer = jsonAnswer(
         errorJson({ErrorCode::InvalidArgument, "method not allowed: expected " + allowed, {}}),
         405);
--- a/src/admin/admin_routes.hpp
+++ b/src/admin/admin_routes.hpp
@@ -24,7 +24,7 @@
     unsigned status = 200; ///< Status code.
     std::string contentType = "application/json"; ///< Media type of the body.
     std::string body; ///< Body.
-    std::string allow; ///< With status 405: the methods there are.
+    std::string allow; ///< With status 405: the allowed methods.
 };
 
 /// \brief One endpoint.
@@ -38,10 +38,10 @@
 /// \brief All endpoints.
 [[nodiscard]] std::span<const AdminEndpoint> adminEndpoints() noexcept;
 
-/// \brief Finds the endpoint of a request and answers.
+/// \brief Dispatches a request to its endpoint.
 [[nodiscard]] AdminAnswer answerAdmin(AdminSource &source, const AdminRequest &request);
 
-/// \brief The value of a query parameter, decoded, or empty.
+/// \brief The decoded value of a query parameter; empty if it is missing.
 [[nodiscard]] std::string queryValue(std::string_view target, std::string_view name);
 
 } // namespace yuccaspan::impl
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -29,13 +29,13 @@
 constexpr std::uint32_t maxHeaderBytes = 16U << 10U;
 constexpr std::uint64_t maxBodyBytes = 64U << 10U;
 constexpr std::chrono::milliseconds acceptRetryDelay{100};
-constexpr std::chrono::seconds drainTime{1};
-constexpr std::size_t drainStep = 4U << 10U;
+constexpr std::chrono::seconds drainTimeout{1};
+constexpr std::size_t drainChunkBytes = 4U << 10U;
 constexpr std::size_t maxDrainedBytes = 256U << 10U;
 
 class AdminServerImpl;
 
-/// One connection of a caller.
+/// One client connection.
 class AdminSession : public std::enable_shared_from_this<AdminSession>
 {
 public:
@@ -93,7 +93,8 @@
         if (!failure)
             m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
         if (failure)
-            return Error{ErrorCode::Unavailable, "cannot listen: " + failure.message(), {}};
+            return Error{
+                ErrorCode::Unavailable, "cannot listen on the address: " + failure.message(), {}};
         m_port = m_acceptor.local_endpoint().port();
         accept();
         m_thread = std::thread([this] { m_context.run(); });
@@ -106,7 +107,7 @@
 
     [[nodiscard]] const AdminOptions &options() const noexcept { return m_options; }
     [[nodiscard]] AdminSource &source() noexcept { return m_source; }
-    void forget(const std::shared_ptr<AdminSession> &session) { m_sessions.erase(session); }
+    void removeSession(const std::shared_ptr<AdminSession> &session) { m_sessions.erase(session); }
 
 private:
     void accept()
@@ -212,16 +213,16 @@
         return receive();
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    m_stream.expires_after(drainTime);
+    m_stream.expires_after(drainTimeout);
     drain(maxDrainedBytes);
 }
 
-/// Reads what the caller still sends, so that closing does not discard the answer on its way.
+/// Reads the client's remaining bytes before closing, since a reset could discard the answer.
 void AdminSession::drain(std::size_t bytesLeft)
 {
     m_buffer.clear();
     m_stream.async_read_some(
-        m_buffer.prepare(std::min(bytesLeft, drainStep)),
+        m_buffer.prepare(std::min(bytesLeft, drainChunkBytes)),
         [self = shared_from_this(), bytesLeft](error_code failure, std::size_t bytes) {
             if (failure || bytes >= bytesLeft)
                 return self->end();
@@ -232,7 +233,7 @@
 void AdminSession::end()
 {
     close();
-    m_server.forget(shared_from_this());
+    m_server.removeSession(shared_from_this());
 }
 
 } // namespace
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -15,14 +15,14 @@
     {"status", "", "Shows the instances and the settings in force.", 0, false, runStatus},
     {"assignment", "", "Shows which target owns which slice.", 0, false, runAssignment},
     {"explain", "--service S --key K", "Shows how a key is routed, and why.", 0, false, runExplain},
-    {"move", "--service S (--key K | --hash H) --to TARGET", "Asks for a move of a slice.", 0,
+    {"move", "--service S (--key K | --hash H) --to TARGET", "Requests a move of a slice.", 0,
      false, runMove},
     {"drain", "TARGET [--undo] [--wait]", "Moves all slices off a target.", 1, true, runDrain},
     {"zone", "(out|in) ZONE [--stopped] [--wait]", "Takes an availability zone out or back in.", 2,
      true, runZone},
 }};
 
-/// Whether an error is one of settings or arguments rather than a negative result.
+/// Whether an error is due to invalid settings or arguments rather than to a failed operation.
 bool isUsageError(ErrorCode code)
 {
     return code == ErrorCode::InvalidArgument || code == ErrorCode::ParseFailed
--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -19,21 +19,21 @@
 /// \name Exit codes
 /// @{
 inline constexpr int exitSuccess = 0; ///< Success.
-inline constexpr int exitNegative = 1; ///< A negative result, such as a conflict.
-inline constexpr int exitUsage = 2; ///< Wrong usage or wrong settings.
+inline constexpr int exitNegative = 1; ///< The command failed, for example with a conflict.
+inline constexpr int exitUsage = 2; ///< Invalid usage or invalid settings.
 /// @}
 
 /// \brief The command line.
 struct CtlOptions
 {
     std::string command; ///< Name of the command.
-    std::vector<std::string> arguments; ///< What follows the command.
+    std::vector<std::string> arguments; ///< Arguments of the command.
     bool json = false; ///< Write JSON.
     bool wait = false; ///< Wait until the settings are in force everywhere.
-    bool stopped = false; ///< With `zone out`: nothing in the zone runs any more.
-    bool undo = false; ///< With `drain`: take the target back.
-    std::optional<std::uint64_t> expect; ///< Version that the operator saw.
-    Duration timeout = std::chrono::seconds(30); ///< Longest wait of `--wait`.
+    bool stopped = false; ///< With `zone out`: nothing runs in the zone any more.
+    bool undo = false; ///< With `drain`: return the target to service.
+    std::optional<std::uint64_t> expect; ///< Expected settings version in the store.
+    Duration timeout = std::chrono::seconds(30); ///< Timeout of `--wait`.
     std::string store; ///< URL of the store.
     std::vector<std::string> admins; ///< URLs of administration APIs.
     std::string service; ///< With `explain` and `move`: the service.
@@ -42,15 +42,15 @@
     std::string to; ///< With `move`: the next owner.
 };
 
-/// \brief What a command printed.
+/// \brief Output of a command.
 struct CommandOutput
 {
     int exitCode = exitSuccess; ///< Exit code.
-    std::string text; ///< For a person.
-    nlohmann::json json = nlohmann::json::object(); ///< For a program.
+    std::string text; ///< Human-readable output.
+    nlohmann::json json = nlohmann::json::object(); ///< Machine-readable output.
 };
 
-/// \brief What a command works with.
+/// \brief Input of a command.
 struct CommandContext
 {
     const CtlOptions &options; ///< The command line.
@@ -66,7 +66,7 @@
     const char *usage; ///< Arguments, for `--help`.
     const char *help; ///< One sentence, for `--help`.
     std::size_t arguments; ///< Number of arguments.
-    bool needsStore; ///< Whether it does nothing without `--store`.
+    bool needsStore; ///< Whether it requires `--store`.
     CommandOutput (*run)(CommandContext &context); ///< Runs the command.
 };
 
@@ -86,22 +86,22 @@
 /// \brief All commands.
 [[nodiscard]] std::span<const Command> ctlCommands() noexcept;
 
-/// \brief An output for an error: exit code 2 for wrong settings and arguments, else 1.
+/// \brief Output for an error: exit code 2 for invalid settings or arguments, else 1.
 [[nodiscard]] CommandOutput failure(const Error &error);
-/// \brief An output for several errors of settings.
+/// \brief Output for several errors in settings.
 [[nodiscard]] CommandOutput failure(const std::vector<Error> &errors);
-/// \brief An output for wrong usage.
+/// \brief Output for invalid usage.
 [[nodiscard]] CommandOutput usageFailure(const std::string &text);
 
-/// \brief Opens the store that an option names.
+/// \brief Opens the store at the address given by `--store`.
 using OpenStore = std::function<Result<std::shared_ptr<Store>>(const HostPort &)>;
 
 /// \brief Reads the command line, runs the command and prints its output.
 /// \param arguments The command line without the program's name.
 /// \param openStore Opens the store.
 /// \param sleep Waits between attempts.
-/// \param out Receives output.
-/// \param err Receives the text of failures.
+/// \param out Receives the output of successful commands and all JSON output.
+/// \param err Receives error messages.
 /// \returns The exit code.
 [[nodiscard]] int runCtl(const std::vector<std::string> &arguments, const OpenStore &openStore,
                          const StoreSession::Sleep &sleep, std::ostream &out, std::ostream &err);
--- a/src/ctl/document_diff.cpp
+++ b/src/ctl/document_diff.cpp
@@ -25,11 +25,11 @@
 /// A member that is an object, or an empty object.
 Json objectMember(const Json &json, const std::string &name)
 {
-    const bool isThere = json.is_object() && json.contains(name) && json.at(name).is_object();
-    return isThere ? json.at(name) : Json::object();
+    const bool isObject = json.is_object() && json.contains(name) && json.at(name).is_object();
+    return isObject ? json.at(name) : Json::object();
 }
 
-/// Copies fields of members that both documents have and the folder does not state.
+/// Copies fields that the folder does not set, for members that both documents have.
 template <std::size_t count>
 void keepFields(Json &folder, const Json &stored, const std::array<const char *, count> &fields)
 {
--- a/src/ctl/document_diff.hpp
+++ b/src/ctl/document_diff.hpp
@@ -14,11 +14,11 @@
     Json after; ///< Null if the member is removed.
 };
 
-/// \brief Lists the differences, members of objects one by one.
+/// \brief Lists the differences; objects are compared member by member.
 [[nodiscard]] std::vector<DocumentChange> diffDocuments(const Json &before, const Json &after);
 
-/// \brief Takes the operational fields `out`, `stopped` and `drain` over from the stored document
-/// where the folder does not state them, so that applying a folder does not undo `zone out` or
+/// \brief Copies the operational fields `out`, `stopped` and `drain` from the stored document
+/// where the folder does not set them, so that applying a folder does not undo `zone out` or
 /// `drain`.
 /// \param folder Document of the folder.
 /// \param stored Document in the store, or null.
--- a/src/ctl/publish.cpp
+++ b/src/ctl/publish.cpp
@@ -11,12 +11,12 @@
 namespace {
 
 constexpr int maxAttempts = 8;
-constexpr Duration firstDelay = std::chrono::milliseconds(100);
-constexpr Duration longestDelay = std::chrono::seconds(2);
+constexpr Duration initialDelay = std::chrono::milliseconds(100);
+constexpr Duration maxDelay = std::chrono::seconds(2);
 
 Backoff makeBackoff()
 {
-    return {firstDelay, longestDelay, std::random_device()()};
+    return {initialDelay, maxDelay, std::random_device()()};
 }
 
 std::string versionText(ObjectVersion version)
@@ -32,7 +32,7 @@
             {}};
 }
 
-/// Waits for a read that is later than a version, since reads may lag.
+/// Retries until a read returns a later version than the given one, since reads may be stale.
 Result<StoredSettings> readLaterThan(StoreSession &store, ObjectVersion version)
 {
     Backoff backoff = makeBackoff();
@@ -46,7 +46,7 @@
     return stored;
 }
 
-/// Finds out which document won after the store said that the expected version is gone.
+/// Determines which document the store holds after a conditional update failed with a conflict.
 Result<ObjectVersion> resolveConflict(StoreSession &store, ObjectVersion expected,
                                       const Json &document, bool maybeWritten)
 {
@@ -57,24 +57,24 @@
     const Result<StoredSettings> stored = readLaterThan(store, expected);
     if (!stored || stored->version <= expected)
         return Error{ErrorCode::UnknownResult,
-                     "an answer of the store was lost and the settings cannot be read back",
+                     "the store's answer was lost and the current settings cannot be read",
                      {}};
     if (stored->document == document)
         return stored->version;
     return Error{ErrorCode::Conflict,
                  "the store holds " + versionText(stored->version)
                      + " of another operator; an answer was lost, so this command's settings may "
-                       "have been in force before it",
+                       "have been in force before that version",
                  {}};
 }
 
-/// The document with an edit, which passes every check.
+/// Applies an edit to a document and validates the result.
 Result<Json> applyEdit(const StoredSettings &stored, const SettingsEdit &edit)
 {
     const Json::json_pointer pointer(edit.pointer);
     if (!stored.document.contains(pointer))
         return Error{ErrorCode::NotFound,
-                     "no " + edit.pointer + " in settings " + versionText(stored.version),
+                     "no member " + edit.pointer + " in settings " + versionText(stored.version),
                      {}};
     Json changed = stored.document;
     changed[pointer].merge_patch(edit.patch);
@@ -84,7 +84,7 @@
     return changed;
 }
 
-Error sameMemberChanged(const SettingsEdit &edit)
+Error memberConflict(const SettingsEdit &edit)
 {
     return {ErrorCode::Conflict,
             "another operator has changed " + edit.pointer
@@ -143,14 +143,14 @@
         maybeWritten = maybeWritten || written.error().code == ErrorCode::UnknownResult;
         if (!maybeWritten)
             return written;
-        // The same conditional update again: of the two, at most one can take effect.
+        // Retrying is safe: at most one of the identical conditional updates can take effect.
         store.sleep(backoff.failed());
         written = store.write(path, expected, value);
     }
     if (written)
         return written;
     return Error{ErrorCode::UnknownResult,
-                 "the store did not say whether the settings were written: " + written.error().text,
+                 "it is unknown whether the store wrote the settings: " + written.error().text,
                  {}};
 }
 
@@ -169,7 +169,7 @@
             return EditResult{stored->version, false};
         const Json member = stored->document.at(pointer);
         if (memberBefore && member != *memberBefore)
-            return sameMemberChanged(edit);
+            return memberConflict(edit);
         memberBefore = member;
         const Result<ObjectVersion> version = publish(store, stored->version, *changed);
         if (version)
@@ -178,7 +178,9 @@
             return version.error();
         stored = readLaterThan(store, stored->version);
     }
-    return Error{ErrorCode::Conflict, "other operators keep changing the settings", {}};
+    return Error{ErrorCode::Conflict,
+                 "too many conflicts with other operators' changes to the settings",
+                 {}};
 }
 
 } // namespace yuccaspan::impl
--- a/src/ctl/run_ctl.cpp
+++ b/src/ctl/run_ctl.cpp
@@ -18,10 +18,11 @@
     add("admin", "URL of an instance's administration API; repeatable",
         cxxopts::value<std::vector<std::string>>(), "URL");
     add("wait", "Wait until the settings are in force on every live instance");
-    add("timeout-ms", "Longest wait of --wait", cxxopts::value<std::uint64_t>(), "N");
-    add("expect", "Version of the settings that you saw", cxxopts::value<std::uint64_t>(), "N");
-    add("stopped", "With zone out: nothing in the zone runs any more");
-    add("undo", "With drain: take the target back");
+    add("timeout-ms", "Timeout of --wait, in milliseconds", cxxopts::value<std::uint64_t>(), "N");
+    add("expect", "Settings version that the store is expected to hold",
+        cxxopts::value<std::uint64_t>(), "N");
+    add("stopped", "With zone out: nothing runs in the zone any more");
+    add("undo", "With drain: return the target to service");
     add("service", "Name of a service", cxxopts::value<std::string>(), "NAME");
     add("key", "A key", cxxopts::value<std::string>(), "KEY");
     add("hash", "A key's hash, hexadecimal", cxxopts::value<std::string>(), "HASH");
@@ -42,12 +43,12 @@
     const std::string all = options.help();
     const std::size_t table = all.find("      --json");
     text += "\nOptions:\n" + (table == std::string::npos ? all : all.substr(table));
-    text += "\nExit codes: 0 success, 1 negative result, 2 wrong usage or settings.\n";
+    text += "\nExit codes: 0 success, 1 failure, 2 invalid usage or settings.\n";
     return text;
 }
 
 template <typename T>
-void take(const cxxopts::ParseResult &parsed, const char *name, T &value)
+void readOption(const cxxopts::ParseResult &parsed, const char *name, T &value)
 {
     if (parsed.count(name) != 0)
         value = parsed[name].as<T>();
@@ -56,7 +57,7 @@
 CtlOptions readOptions(const cxxopts::ParseResult &parsed)
 {
     CtlOptions options;
-    take(parsed, "words", options.arguments);
+    readOption(parsed, "words", options.arguments);
     if (!options.arguments.empty()) {
         options.command = options.arguments.front();
         options.arguments.erase(options.arguments.begin());
@@ -65,12 +66,12 @@
     options.wait = parsed.count("wait") != 0;
     options.stopped = parsed.count("stopped") != 0;
     options.undo = parsed.count("undo") != 0;
-    take(parsed, "store", options.store);
-    take(parsed, "admin", options.admins);
-    take(parsed, "service", options.service);
-    take(parsed, "key", options.key);
-    take(parsed, "hash", options.hash);
-    take(parsed, "to", options.to);
+    readOption(parsed, "store", options.store);
+    readOption(parsed, "admin", options.admins);
+    readOption(parsed, "service", options.service);
+    readOption(parsed, "key", options.key);
+    readOption(parsed, "hash", options.hash);
+    readOption(parsed, "to", options.to);
     if (parsed.count("expect") != 0)
         options.expect = parsed["expect"].as<std::uint64_t>();
     if (parsed.count("timeout-ms") != 0)
@@ -115,7 +116,7 @@
     try {
         return command->run(context);
     } catch (const nlohmann::json::exception &) {
-        return failure({ErrorCode::Internal, "an answer does not fit its description", {}});
+        return failure({ErrorCode::Internal, "an answer has an unexpected JSON structure", {}});
     }
 }
 
--- a/src/ctl/settings_commands.cpp
+++ b/src/ctl/settings_commands.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// What applying a folder would do.
+/// The changes that applying a folder makes.
 struct Plan
 {
     StoredSettings stored;
@@ -18,7 +18,7 @@
     std::vector<DocumentChange> changes;
 };
 
-/// A plan, or the output that says why there is none.
+/// A plan, or the output of a failure.
 using PlanResult = std::variant<Plan, CommandOutput>;
 
 PlanResult makePlan(CommandContext &context)
@@ -66,8 +66,8 @@
     return text;
 }
 
-/// Adds the wait for all instances to an output, if it was asked for.
-CommandOutput waitIfAsked(CommandContext &context, CommandOutput output, ObjectVersion version)
+/// Waits for all instances if the command line requests it, and extends the output.
+CommandOutput waitIfRequested(CommandContext &context, CommandOutput output, ObjectVersion version)
 {
     if (!context.options.wait)
         return output;
@@ -126,8 +126,8 @@
     output.json = {
         {"ok", true}, {"version", version.value}, {"changes", changesJson(plan.changes)}};
     output.text = changesText(plan.changes) + "version " + std::to_string(version.value)
-        + (plan.changes.empty() ? " stands, nothing to change\n" : " published\n");
-    return waitIfAsked(context, std::move(output), version);
+        + (plan.changes.empty() ? " is unchanged\n" : " published\n");
+    return waitIfRequested(context, std::move(output), version);
 }
 
 namespace {
@@ -141,8 +141,8 @@
     CommandOutput output;
     output.json = {{"ok", true}, {"version", edited->version.value}, {"changed", edited->changed}};
     output.text = edited->changed ? "version " + version + " published\n"
-                                  : "version " + version + " stands, nothing to change\n";
-    return waitIfAsked(context, std::move(output), edited->version);
+                                  : "version " + version + " is unchanged\n";
+    return waitIfRequested(context, std::move(output), edited->version);
 }
 
 } // namespace
@@ -154,7 +154,7 @@
         return usageFailure("expected zone out ZONE or zone in ZONE");
     const bool out = direction == "out";
     if (!out && context.options.stopped)
-        return usageFailure("--stopped goes with zone out only");
+        return usageFailure("--stopped is only valid with zone out");
     SettingsEdit edit;
     edit.pointer = childPointer("/zones", context.options.arguments.at(1));
     edit.patch = {{"out", out}};
@@ -172,7 +172,7 @@
     if (!stored)
         return failure(stored.error());
     if (stored->document.is_null())
-        return failure({ErrorCode::NotFound, "no settings in the store", {}});
+        return failure({ErrorCode::NotFound, "the store holds no settings", {}});
     const Result<Settings> settings = parseSettings(stored->document.dump());
     if (!settings)
         return failure(settings.error());
--- a/src/ctl/store_session.hpp
+++ b/src/ctl/store_session.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Waiting calls to the store, for a program that does one thing at a time.
+/// \brief Blocking calls to the store, for a sequential program.
 #pragma once
 
 #include "yuccaspan/clock.hpp"
@@ -9,11 +9,11 @@
 
 namespace yuccaspan::impl {
 
-/// \brief The store with calls that wait for their result.
+/// \brief Wraps a store with blocking calls.
 class StoreSession
 {
 public:
-    /// \brief Waits for a span of time.
+    /// \brief Sleeps for a duration.
     using Sleep = std::function<void(Duration)>;
 
     /// \brief Creates a session.
@@ -23,17 +23,17 @@
 
     /// \name Calls
     /// @{
-    /// \brief Reads an object; one that does not exist has version 0 and no value. Also asks for
-    /// the list of changes, since a plain read may lag, and returns the later version of the two.
+    /// \brief Reads an object; a missing object has version 0 and no value. Also lists the changes,
+    /// since a plain read may be stale, and returns the later of the two versions.
     [[nodiscard]] Result<StoreObject> read(const std::string &path);
-    /// \brief Updates an object if it has the expected version.
+    /// \brief Updates an object if its version is as expected.
     [[nodiscard]] Result<ObjectVersion> write(const std::string &path, ObjectVersion expected,
                                               const std::string &value);
-    /// \brief All present objects under a prefix.
+    /// \brief Lists all existing objects under a prefix.
     [[nodiscard]] Result<StoreChanges> list(const std::string &prefix);
-    /// \brief The platform's list of instances, which lags.
+    /// \brief The platform's list of instances, which may be stale.
     [[nodiscard]] Result<std::vector<ListedInstance>> instances();
-    /// \brief Waits.
+    /// \brief Sleeps.
     void sleep(Duration duration) { m_sleep(duration); }
     /// @}
 
--- a/src/ctl/view_commands.cpp
+++ b/src/ctl/view_commands.cpp
@@ -12,8 +12,8 @@
 
 constexpr Duration adminTimeout = std::chrono::seconds(5);
 
-/// The answer of the first instance that answers, or why none does.
-Result<HttpAnswer> askAny(CommandContext &context, const HttpCall &call)
+/// Calls the instances in turn and returns the first answer, or the last error.
+Result<HttpAnswer> callFirstAvailable(CommandContext &context, const HttpCall &call)
 {
     Error last{ErrorCode::InvalidArgument, "needs --admin URL", {}};
     for (const std::string &url : context.options.admins) {
@@ -28,23 +28,24 @@
     return last;
 }
 
-/// The JSON of an answer, or its error.
+/// Parses an answer: its JSON, or the error that it reports.
 Result<Json> readAnswer(const HttpAnswer &answer)
 {
     Json json = Json::parse(answer.body, nullptr, false);
     if (json.is_discarded() || !json.is_object())
-        return Error{ErrorCode::Unavailable, "the instance did not answer with JSON", {}};
+        return Error{ErrorCode::Unavailable, "the instance's answer is not a JSON object", {}};
     if (answer.status < 300)
         return json;
     const Json error = json.value("error", Json::object());
     const auto code = fromString<ErrorCode>(error.value("code", ""));
-    return Error{code.value_or(ErrorCode::Internal), error.value("text", "no reason given"), {}};
+    return Error{
+        code.value_or(ErrorCode::Internal), error.value("text", "the answer gives no reason"), {}};
 }
 
 Result<Json> getJson(CommandContext &context, const std::string &target)
 {
     const Result<HttpAnswer> answer =
-        askAny(context, HttpCall{"GET", target, {}, {}, adminTimeout});
+        callFirstAvailable(context, HttpCall{"GET", target, {}, {}, adminTimeout});
     if (!answer)
         return answer.error();
     return readAnswer(*answer);
@@ -66,7 +67,7 @@
     return text.str();
 }
 
-/// The assignment as the store's records say it.
+/// Reads the assignment from the store's records.
 Result<Json> assignmentFromStore(StoreSession &store)
 {
     const Result<StoreChanges> objects = store.list("placement/");
@@ -181,7 +182,7 @@
         if (json) {
             CommandOutput output;
             output.json = *json;
-            output.text = "move asked for at " + url + '\n';
+            output.text = "requested the move from " + url + '\n';
             return output;
         }
         last = json.error();
--- a/src/ctl/wait_in_force.cpp
+++ b/src/ctl/wait_in_force.cpp
@@ -12,7 +12,7 @@
 constexpr Duration pollInterval = std::chrono::milliseconds(200);
 constexpr Duration adminTimeout = std::chrono::seconds(2);
 
-InstanceVersion askInstance(CommandContext &context, const std::string &url)
+InstanceVersion queryInstance(CommandContext &context, const std::string &url)
 {
     InstanceVersion instance;
     instance.name = url;
@@ -35,8 +35,8 @@
     return instance;
 }
 
-/// The records by full id, and the latest one of each name without start id: the platform's list
-/// may show either.
+/// Latest records by full id and by name without start id; the platform's list may contain
+/// either.
 std::map<std::string, InstanceStatusRecord> latestRecords(StoreChanges objects)
 {
     std::ranges::sort(objects.objects, {}, &StoreObject::version);
@@ -98,7 +98,7 @@
     output.exitCode = exitNegative;
     output.json["inForce"] = false;
     output.json["lagging"] = names;
-    output.text += "not in force in time on:";
+    output.text += "timed out waiting for the settings to be in force on:";
     for (const std::string &name : names)
         output.text += ' ' + name;
     output.text += '\n';
@@ -113,7 +113,7 @@
         return versionsFromStore(*context.store);
     std::vector<InstanceVersion> versions;
     for (const std::string &url : context.options.admins)
-        versions.push_back(askInstance(context, url));
+        versions.push_back(queryInstance(context, url));
     return versions;
 }
 
@@ -124,7 +124,7 @@
         const Result<std::vector<InstanceVersion>> instances = instanceVersions(context);
         const bool known = instances && !instances->empty();
         const std::vector<std::string> names =
-            known ? lagging(*instances, version) : std::vector<std::string>{"(no instance known)"};
+            known ? lagging(*instances, version) : std::vector<std::string>{"(no known instances)"};
         if (names.empty())
             return inForce(std::move(output), instances->size());
         if (context.now() >= deadline)
--- a/tests/ctl/fake_admin_source.hpp
+++ b/tests/ctl/fake_admin_source.hpp
@@ -7,7 +7,7 @@
 
 namespace yuccaspan {
 
-/// \brief Answers for one service "stock" with two targets.
+/// \brief Describes one service, "stock", with two targets.
 class FakeAdminSource : public AdminSource
 {
 public:
--- a/tests/ctl/fake_store.hpp
+++ b/tests/ctl/fake_store.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief A store in memory with faults that a test switches on.
+/// \brief An in-memory store with fault injection.
 #pragma once
 
 #include "yuccaspan/store.hpp"
@@ -11,7 +11,7 @@
 
 namespace yuccaspan {
 
-/// \brief Answers at once, on the caller's thread.
+/// \brief Completes every call synchronously, on the caller's thread.
 class FakeStore : public Store
 {
 public:
@@ -20,7 +20,7 @@
         if (down)
             return done(unavailable());
         const std::vector<StoreObject> &history = objects[path];
-        const std::size_t lag = takeLag();
+        const std::size_t lag = consumeLag();
         if (history.size() <= lag)
             return done(Error{ErrorCode::NotFound, "absent", {}});
         done(history[history.size() - 1 - lag]);
@@ -51,7 +51,7 @@
     {
         if (down)
             return done(unavailable());
-        const std::size_t lag = takeLag();
+        const std::size_t lag = consumeLag();
         StoreChanges changes{revision, true, {}};
         for (const auto &[path, history] : objects) {
             if (path.starts_with(prefix) && history.size() > lag)
@@ -62,13 +62,13 @@
 
     void listInstances(Callback<std::vector<ListedInstance>> done) override { done(instances); }
 
-    /// Writes as another operator would, without faults.
+    /// Writes without injected faults, as another operator would.
     Result<ObjectVersion> write(const std::string &path, ObjectVersion expected, std::string value)
     {
         std::vector<StoreObject> &history = objects[path];
         const ObjectVersion present = history.empty() ? ObjectVersion{} : history.back().version;
         if (present != expected)
-            return Error{ErrorCode::Conflict, "another version", {}};
+            return Error{ErrorCode::Conflict, "the object has another version", {}};
         history.push_back({path, {++revision}, std::move(value)});
         return ObjectVersion{revision};
     }
@@ -81,16 +81,17 @@
     std::map<std::string, std::vector<StoreObject>> objects;
     std::vector<ListedInstance> instances;
     std::uint64_t revision = 0;
-    std::size_t staleReads = 0; ///< So many reads show the version before the latest.
-    int loseAnswers = 0; ///< So many writes take effect without an answer.
-    int loseRequests = 0; ///< So many writes take no effect and get no answer.
-    bool downAfterLoss = false; ///< The store goes down after the next lost answer.
-    bool down = false; ///< Every call is Unavailable.
+    std::size_t staleReads = 0; ///< Number of reads that return the version before the latest.
+    int loseAnswers = 0; ///< Number of writes that take effect but whose answer is lost.
+    int loseRequests = 0; ///< Number of writes that are lost before they take effect.
+    bool downAfterLoss =
+        false; ///< Whether the store becomes unavailable after the next lost answer.
+    bool down = false; ///< Whether every call fails with Unavailable.
     std::function<void()> beforeWrite; ///< Runs once, before the next write.
 
 private:
-    /// How many versions the next read lags behind.
-    std::size_t takeLag()
+    /// Number of versions by which the next read is stale.
+    std::size_t consumeLag()
     {
         const std::size_t lag = staleReads > 0 ? 1 : 0;
         staleReads -= lag;
--- a/tests/ctl/test_admin_api.cpp
+++ b/tests/ctl/test_admin_api.cpp
@@ -43,7 +43,7 @@
     std::unique_ptr<AdminServer> server;
 };
 
-TEST_F(AdminApi, ShowsWhatTheInstanceKnows)
+TEST_F(AdminApi, ServesInstanceState)
 {
     EXPECT_EQ(get("/v1/status")["instance"], "entry-1#1");
     EXPECT_EQ(get("/v1/status")["settingsVersion"], 7);
@@ -63,7 +63,7 @@
     EXPECT_EQ(call("GET", "/readyz").body, "no routes yet\n");
 }
 
-TEST_F(AdminApi, ExplainsAKey)
+TEST_F(AdminApi, ExplainsKey)
 {
     const json explained = get("/v1/explain?service=stock&key=a%20b%2Fc");
     EXPECT_EQ(explained["key"], "a b/c");
@@ -72,7 +72,7 @@
     EXPECT_EQ(call("GET", "/v1/explain?service=stock").status, 400U);
 }
 
-TEST_F(AdminApi, PassesAMoveOn)
+TEST_F(AdminApi, ForwardsMoveOrders)
 {
     const json order{{"service", "stock"}, {"to", "t2"}, {"key", "depot-1"}};
     EXPECT_EQ(call("POST", "/v1/moves", order.dump()).status, 202U);
@@ -83,14 +83,14 @@
     EXPECT_EQ(call("POST", "/v1/moves", "{").status, 400U);
 }
 
-TEST_F(AdminApi, RefusesUnknownPathsAndMethods)
+TEST_F(AdminApi, RejectsUnknownPathsAndMethods)
 {
     EXPECT_EQ(call("GET", "/v1/unknown").status, 404U);
     EXPECT_EQ(call("POST", "/v1/status").status, 405U);
     EXPECT_EQ(call("POST", "/v1/moves", std::string(65537, 'x')).status, 413U);
 }
 
-TEST_F(AdminApi, AnswersBeforeTheFirstSettings)
+TEST_F(AdminApi, AnswersWithoutSettings)
 {
     source.current = nullptr;
     EXPECT_EQ(call("GET", "/v1/services").status, 503U);
@@ -134,7 +134,7 @@
     }
 }
 
-RC_GTEST_PROP(AdminRoutes, AnyTargetAndBodyIsAnswered,
+RC_GTEST_PROP(AdminRoutes, AnswersAnyTargetAndBody,
               (const std::string &target, const std::string &body))
 {
     FakeAdminSource source;
--- a/tests/ctl/test_admin_edge.cpp
+++ b/tests/ctl/test_admin_edge.cpp
@@ -14,7 +14,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-/// A server with a raw connection to it.
+/// A raw TCP connection to a server.
 class RawClient
 {
 public:
@@ -23,7 +23,7 @@
         m_socket.connect({asio::ip::address_v4::loopback(), port});
     }
 
-    /// Sends bytes, ends the sending side and reads until the server closes.
+    /// Sends bytes, shuts down the sending side and reads until the server closes.
     std::string exchange(const std::string &bytes)
     {
         boost::system::error_code ignored;
@@ -34,7 +34,7 @@
         return answer;
     }
 
-    /// Sends one request and reads some of its answer; the connection stays open.
+    /// Sends a request, reads the start of its answer and keeps the connection open.
     std::string ask(const std::string &request)
     {
         boost::system::error_code failure;
@@ -60,7 +60,7 @@
     return std::move(*server);
 }
 
-TEST(AdminEdge, RefusesWhatIsNotHttp)
+TEST(AdminEdge, RejectsMalformedAndOversizedRequests)
 {
     FakeAdminSource source;
     const auto server = startServer(source);
@@ -75,7 +75,7 @@
     EXPECT_TRUE(exchange(healthRequest).starts_with("HTTP/1.1 200 "));
 }
 
-TEST(AdminEdge, ClosesConnectionsPastTheLimit)
+TEST(AdminEdge, ClosesConnectionsOverLimit)
 {
     FakeAdminSource source;
     const auto server = startServer(source, 2);
@@ -87,7 +87,7 @@
     EXPECT_TRUE(third.ask(healthRequest).empty());
 }
 
-TEST(AdminEdge, APortThatIsTakenIsAnError)
+TEST(AdminEdge, ReportsUnusableListenAddress)
 {
     FakeAdminSource source;
     const auto server = startServer(source);
@@ -100,7 +100,7 @@
     EXPECT_EQ(makeAdminServer(options, source).error().code, ErrorCode::InvalidArgument);
 }
 
-RC_GTEST_PROP(AdminEdge, AnyBytesLeaveTheServerRunning, ())
+RC_GTEST_PROP(AdminEdge, SurvivesArbitraryBytes, ())
 {
     FakeAdminSource source;
     const auto server = startServer(source);
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -50,7 +50,7 @@
         std::ofstream(m_folder / name) << text;
     }
 
-    /// An instance writes its status over that of any earlier start.
+    /// Writes an instance's status record, replacing any earlier one.
     void report(const char *id, std::uint64_t version)
     {
         const InstanceStatusRecord record{InstanceId(id), ZoneId("a"), {version}, false};
@@ -84,8 +84,8 @@
 
     json stored() { return json::parse(store.latest("settings").value); }
 
-    /// Another operator changes one value.
-    void otherOperator(const std::string &pointer, const json &value)
+    /// Changes one value as another operator.
+    void changeAsOtherOperator(const std::string &pointer, const json &value)
     {
         json document = stored();
         document[json::json_pointer(pointer)] = value;
@@ -98,7 +98,7 @@
     std::filesystem::path m_folder;
 };
 
-TEST_F(Ctl, ChecksAFolder)
+TEST_F(Ctl, ChecksFolder)
 {
     const Outcome good = run({"check", "DIR"});
     EXPECT_EQ(good.exitCode, 0);
@@ -110,7 +110,7 @@
     EXPECT_EQ(bad.output["errors"][0]["pointer"], "/services/stock/targets/t1/zone");
 }
 
-TEST_F(Ctl, AppliesAndShowsWhatChanges)
+TEST_F(Ctl, DiffsAndAppliesFolder)
 {
     EXPECT_EQ(run({"apply", "DIR"}).output["version"], 1);
     write("90.json", R"({"services":{"stock":{"targets":{"t1":{"slots":9},"t2":null}}}})");
@@ -125,35 +125,35 @@
     EXPECT_EQ(store.revision, 2U);
 }
 
-TEST_F(Ctl, TheLoserOfARaceChangesNothing)
+TEST_F(Ctl, ApplyConflictChangesNothing)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     write("90.json", R"({"services":{"stock":{"queueLimit":9}}})");
-    store.beforeWrite = [this] { otherOperator("/services/stock/queueLimit", 5); };
+    store.beforeWrite = [this] { changeAsOtherOperator("/services/stock/queueLimit", 5); };
     const Outcome loser = run({"apply", "DIR"});
     EXPECT_EQ(loser.exitCode, 1);
     EXPECT_EQ(loser.output["errors"][0]["code"], "conflict");
     EXPECT_EQ(stored()["services"]["stock"]["queueLimit"], 5);
 }
 
-TEST_F(Ctl, ApplyRefusesAVersionThatIsNoLongerInForce)
+TEST_F(Ctl, ApplyRejectsOutdatedExpectedVersion)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
-    otherOperator("/services/stock/queueLimit", 5);
+    changeAsOtherOperator("/services/stock/queueLimit", 5);
     EXPECT_EQ(run({"apply", "DIR", "--expect", "1"}).exitCode, 1);
     EXPECT_EQ(stored()["services"]["stock"]["queueLimit"], 5);
     EXPECT_EQ(run({"apply", "DIR", "--expect", "2"}).output["version"], 3);
 }
 
-TEST_F(Ctl, ALaggingReadIsWaitedFor)
+TEST_F(Ctl, ApplyRetriesStaleReads)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
-    otherOperator("/services/stock/queueLimit", 5);
+    changeAsOtherOperator("/services/stock/queueLimit", 5);
     store.staleReads = 5;
     EXPECT_EQ(run({"apply", "DIR", "--expect", "2"}).exitCode, 0);
 }
 
-TEST_F(Ctl, ALostAnswerIsReadBack)
+TEST_F(Ctl, ApplyRetriesAfterLostAnswer)
 {
     store.loseAnswers = 2;
     const Outcome written = run({"apply", "DIR"});
@@ -164,7 +164,7 @@
     EXPECT_EQ(run({"apply", "DIR"}).output["version"], 2);
 }
 
-TEST_F(Ctl, AnAnswerThatStaysLostIsReportedAsUnknown)
+TEST_F(Ctl, ReportsUnknownResultWhenStoreFailsAfterLostAnswer)
 {
     store.loseAnswers = 1;
     store.downAfterLoss = true;
@@ -173,7 +173,7 @@
     EXPECT_EQ(unknown.output["errors"][0]["code"], "unknown-result");
 }
 
-TEST_F(Ctl, AStoreThatIsDownIsReported)
+TEST_F(Ctl, ReportsUnavailableStore)
 {
     store.down = true;
     const Outcome outcome = run({"apply", "DIR"});
@@ -181,20 +181,20 @@
     EXPECT_EQ(outcome.output["errors"][0]["code"], "unavailable");
 }
 
-TEST_F(Ctl, ALostAnswerOvertakenByAnotherOperatorIsAConflict)
+TEST_F(Ctl, ReportsConflictAfterLostRequestAndConcurrentChange)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     write("90.json", R"({"services":{"stock":{"queueLimit":9}}})");
     store.loseRequests = 1;
-    store.beforeWrite = [this] { otherOperator("/services/stock/queueLimit", 5); };
+    store.beforeWrite = [this] { changeAsOtherOperator("/services/stock/queueLimit", 5); };
     EXPECT_EQ(run({"apply", "DIR"}).exitCode, 1);
     EXPECT_EQ(stored()["services"]["stock"]["queueLimit"], 5);
 }
 
-TEST_F(Ctl, ZoneCommandsRetryWhenOthersChangeOtherThings)
+TEST_F(Ctl, ZoneCommandsRetryAfterUnrelatedChanges)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
-    store.beforeWrite = [this] { otherOperator("/services/stock/queueLimit", 5); };
+    store.beforeWrite = [this] { changeAsOtherOperator("/services/stock/queueLimit", 5); };
     const Outcome out = run({"zone", "out", "a", "--stopped"});
     EXPECT_EQ(out.exitCode, 0) << out.output;
     EXPECT_EQ(stored()["services"]["stock"]["queueLimit"], 5);
@@ -205,25 +205,25 @@
     EXPECT_EQ(run({"zone", "in", "a"}).output["changed"], false);
 }
 
-TEST_F(Ctl, AReadThatLagsBehindTheChangesDoesNotHideAZone)
+TEST_F(Ctl, ZoneOutFindsZoneDespiteStaleRead)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     store.staleReads = 1;
     EXPECT_EQ(run({"zone", "out", "a"}).exitCode, 0);
 }
 
-TEST_F(Ctl, AfterAConflictALaggingReadIsWaitedFor)
+TEST_F(Ctl, ZoneOutRetriesStaleReadsAfterConflict)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     store.beforeWrite = [this] {
-        otherOperator("/services/stock/queueLimit", 5);
+        changeAsOtherOperator("/services/stock/queueLimit", 5);
         store.staleReads = 5;
     };
     EXPECT_EQ(run({"zone", "out", "a"}).exitCode, 0);
     EXPECT_EQ(stored()["services"]["stock"]["queueLimit"], 5);
 }
 
-TEST_F(Ctl, ALaggingReadAfterALostAnswerDoesNotHideTheResult)
+TEST_F(Ctl, ApplyRetriesStaleReadsAfterLostAnswer)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     write("90.json", R"({"services":{"stock":{"queueLimit":9}}})");
@@ -234,26 +234,26 @@
     EXPECT_EQ(outcome.output["version"], 2);
 }
 
-TEST_F(Ctl, ZoneCommandsConflictWhenOthersChangeTheSameZone)
+TEST_F(Ctl, ZoneCommandsReportConflictingChangesOfSameZone)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
-    store.beforeWrite = [this] { otherOperator("/zones/a/region", "elsewhere"); };
+    store.beforeWrite = [this] { changeAsOtherOperator("/zones/a/region", "elsewhere"); };
     const Outcome out = run({"zone", "out", "a"});
     EXPECT_EQ(out.exitCode, 1);
     EXPECT_EQ(out.output["errors"][0]["code"], "conflict");
     EXPECT_FALSE(stored()["zones"]["a"].value("out", false));
 }
 
-TEST_F(Ctl, TwoOperatorsWhoTakeOutTheSameZoneBothSucceed)
+TEST_F(Ctl, ConcurrentZoneOutOfSameZoneSucceeds)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
-    store.beforeWrite = [this] { otherOperator("/zones/a/out", true); };
+    store.beforeWrite = [this] { changeAsOtherOperator("/zones/a/out", true); };
     const Outcome out = run({"zone", "out", "a"});
     EXPECT_EQ(out.exitCode, 0);
     EXPECT_EQ(out.output["changed"], false);
 }
 
-TEST_F(Ctl, RefusesToTakeOutTheLastZoneOfAService)
+TEST_F(Ctl, RejectsZoneOutOfLastZoneOfService)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     EXPECT_EQ(run({"zone", "out", "a"}).exitCode, 0);
@@ -262,7 +262,7 @@
     EXPECT_EQ(run({"zone", "in", "a", "--stopped"}).exitCode, 2);
 }
 
-TEST_F(Ctl, ApplyingAFolderDoesNotUndoDrainAndZoneOut)
+TEST_F(Ctl, ApplyKeepsDrainUnlessFolderSetsIt)
 {
     ASSERT_EQ(run({"apply", "DIR"}).exitCode, 0);
     ASSERT_EQ(run({"zone", "out", "a"}).exitCode, 0);
@@ -277,7 +277,7 @@
     EXPECT_EQ(run({"drain", "t9"}).exitCode, 1);
 }
 
-TEST_F(Ctl, WaitNamesTheInstancesThatLag)
+TEST_F(Ctl, WaitReportsLaggingInstances)
 {
     store.instances = {{"e1#1", "entry", ZoneId("a"), "127.0.0.1:1", false},
                        {"e2#1", "entry", ZoneId("a"), "127.0.0.1:2", false},
@@ -294,7 +294,7 @@
     EXPECT_EQ(run({"status"}).output["storeVersion"], there.output["version"]);
 }
 
-TEST_F(Ctl, AListWithoutStartIdsNamesTheLatestStart)
+TEST_F(Ctl, WaitUsesLatestStartWhenListHasNoStartIds)
 {
     store.instances = {{"e1", "entry", ZoneId("a"), "127.0.0.1:1", false}};
     report("e1#9", 100);
@@ -305,7 +305,7 @@
     EXPECT_EQ(run({"apply", "DIR", "--wait", "--timeout-ms", "0"}).exitCode, 0);
 }
 
-TEST_F(Ctl, AsksInstancesOverTheirAdministrationApi)
+TEST_F(Ctl, QueriesInstancesThroughAdminApi)
 {
     FakeAdminSource source;
     const Result<std::unique_ptr<AdminServer>> server = makeAdminServer({}, source);
@@ -331,7 +331,7 @@
     EXPECT_EQ(mixed.exitCode, 1);
 }
 
-TEST_F(Ctl, WrongUsageHasExitCodeTwo)
+TEST_F(Ctl, InvalidUsageHasExitCodeTwo)
 {
     const std::vector<std::vector<std::string>> wrong{
         {},
@@ -353,7 +353,7 @@
     EXPECT_EQ(runPlain({"--version"}).exitCode, 0);
 }
 
-TEST_F(Ctl, AValueThatIsNotOursIsAClearError)
+TEST_F(Ctl, RejectsStoredValueOfOtherFormat)
 {
     ASSERT_TRUE(store.write("settings", {}, "not JSON"));
     EXPECT_EQ(run({"apply", "DIR"}).output["errors"][0]["code"], "parse-failed");
