--- a/include/yuccaspan/enum_names.hpp
+++ b/include/yuccaspan/enum_names.hpp
@@ -15,7 +15,7 @@
 template <typename E>
 using EnumName = std::pair<E, std::string_view>;
 
-/// \brief Specialise with a static member `table` to give an enumeration its names.
+/// \brief Specialize with a static member `table` to define the names of an enumeration.
 template <typename E>
 struct EnumNames;
 
@@ -39,7 +39,7 @@
     return "unknown";
 }
 
-/// \brief Looks an enumerator up by its name.
+/// \brief Looks up an enumerator by its name.
 /// \param name The name, case-sensitive.
 /// \returns The enumerator, or nothing if no enumerator has that name.
 template <NamedEnum E>
--- a/include/yuccaspan/error.hpp
+++ b/include/yuccaspan/error.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Errors as values: a code, a text, and the place the error was found at.
+/// \brief Errors as values: a code, a text and a source location.
 #pragma once
 
 #include "yuccaspan/enum_names.hpp"
@@ -11,7 +11,7 @@
 
 namespace yuccaspan {
 
-/// \brief What kind of failure an Error describes.
+/// \brief Kind of a failure.
 enum class ErrorCode {
     InvalidArgument, ///< A value is outside its documented range.
     ParseFailed, ///< The text is not well-formed.
@@ -19,11 +19,11 @@
     UnsupportedSchema, ///< The value was written by a newer program.
     NotFound, ///< The named object does not exist.
     Conflict, ///< A conditional update found another version.
-    Unavailable, ///< The other side could not be reached or refused for now.
+    Unavailable, ///< The peer is unreachable or temporarily rejects requests.
     Timeout, ///< No answer within the deadline.
     UnknownResult, ///< The operation may or may not have taken effect.
     LimitExceeded, ///< A size or count limit would be exceeded.
-    Internal, ///< An error inside the program that is none of the above.
+    Internal, ///< Any other error inside the program.
 };
 
 template <>
@@ -44,7 +44,7 @@
     }};
 };
 
-/// \brief A place in a document. Line and column start at 1; 0 means not known.
+/// \brief A location in a document. Line and column start at 1; 0 means unknown.
 struct SourcePlace
 {
     std::string file; ///< File name, or empty.
@@ -55,12 +55,12 @@
     [[nodiscard]] friend bool operator==(const SourcePlace &, const SourcePlace &) = default;
 };
 
-/// \brief An error: its kind, a text for a person, and where it was found.
+/// \brief An error: its kind, a human-readable text and its source location.
 struct Error
 {
     ErrorCode code = ErrorCode::Internal; ///< Kind of the failure.
-    std::string text; ///< One sentence for a person.
-    SourcePlace place; ///< Where the error was found; empty if it has no place.
+    std::string text; ///< Human-readable sentence.
+    SourcePlace place; ///< Source location; empty if there is none.
 
     [[nodiscard]] friend bool operator==(const Error &, const Error &) = default;
 };
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -29,7 +29,7 @@
 Result<PeerEnvelope> decodePeerEnvelope(std::string_view bytes)
 {
     const auto size = static_cast<std::uint32_t>(bytes.size());
-    // The buffer only observes the bytes; the interface of the library takes them as mutable.
+    // The library's interface requires mutable bytes but an OBSERVE buffer does not modify them.
     auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
     idl::Envelope wire;
     std::uint32_t left = 0;
@@ -43,7 +43,7 @@
         return Error{ErrorCode::ParseFailed, failure.what(), {}};
     }
     if (left != 0)
-        return Error{ErrorCode::ParseFailed, "bytes follow the message", {}};
+        return Error{ErrorCode::ParseFailed, "unexpected bytes after the message", {}};
     auto message = impl::fromWire(wire.message);
     if (!message)
         return message.error();
--- a/src/wire/wire_convert.cpp
+++ b/src/wire/wire_convert.cpp
@@ -187,7 +187,7 @@
     return {in.path, {toUnsigned(in.version)}, in.value};
 }
 
-/// Route states as the numbers on the wire.
+/// Converts a route state; unknown numbers become Unowned.
 RouteState routeStateFromWire(std::int32_t state) noexcept
 {
     if (state == static_cast<std::int32_t>(RouteState::Open))
@@ -325,7 +325,7 @@
         return PeerMessage(fromMember(message.stateRequest));
     if (message.__isset.stateOffer)
         return PeerMessage(fromMember(message.stateOffer));
-    return Error{ErrorCode::ParseFailed, "the message is of no known kind", {}};
+    return Error{ErrorCode::ParseFailed, "unknown kind of message", {}};
 }
 
 } // namespace yuccaspan::impl
--- a/src/wire/wire_convert.hpp
+++ b/src/wire/wire_convert.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Conversions between the public message types and their Thrift form.
+/// \brief Conversions between the public message types and their Thrift types.
 #pragma once
 
 #include "yuccaspan/peer_message.hpp"
@@ -12,7 +12,7 @@
 
 namespace yuccaspan::impl {
 
-/// \name To the Thrift form
+/// \name To Thrift types
 /// @{
 [[nodiscard]] idl::Cell toWire(const CellId &cell);
 [[nodiscard]] idl::Range toWire(const KeyRange &range);
@@ -24,7 +24,7 @@
 [[nodiscard]] idl::Message toWire(const PeerMessage &message);
 /// @}
 
-/// \name From the Thrift form
+/// \name From Thrift types
 /// @{
 [[nodiscard]] CellId fromWire(const idl::Cell &cell);
 [[nodiscard]] KeyRange fromWire(const idl::Range &range);
@@ -35,7 +35,7 @@
 [[nodiscard]] Result<PeerMessage> fromWire(const idl::Message &message);
 /// @}
 
-/// \brief Converts every element of a list to the Thrift form.
+/// \brief Converts all elements of a list to Thrift types.
 template <typename T>
 [[nodiscard]] auto listToWire(const std::vector<T> &list)
 {
@@ -46,7 +46,7 @@
     return result;
 }
 
-/// \brief Converts every element of a list from the Thrift form.
+/// \brief Converts all elements of a list from Thrift types.
 template <typename T>
 [[nodiscard]] auto listFromWire(const std::vector<T> &list)
 {
--- a/tests/wire/test_peer_codec.cpp
+++ b/tests/wire/test_peer_codec.cpp
@@ -7,7 +7,7 @@
 
 const CellId cell{ServiceName("depot-stock"), ZoneId("a"), 3};
 
-/// Encodes, decodes and encodes again; the two encodings are the same only if nothing was lost.
+/// Encodes, decodes and re-encodes a message; the encodings differ if a field is lost.
 void expectRoundTrip(const PeerMessage &message)
 {
     const std::string bytes = encodePeerEnvelope({InstanceId("e1#7"), message});
@@ -18,7 +18,7 @@
     EXPECT_EQ(encodePeerEnvelope(*decoded), bytes);
 }
 
-TEST(PeerCodec, KeepsEveryKindOfMessage)
+TEST(PeerCodec, RoundTripsAllMessageTypes)
 {
     expectRoundTrip(Heartbeat{ZoneId("a"), 9, true, {4}, true, {InstanceId("e2#1")}, {cell}});
     expectRoundTrip(PromiseRequest{cell, {2}, 5, Duration(1000)});
@@ -35,7 +35,7 @@
     expectRoundTrip(StateOffer{"settings", {8}, "{}"});
 }
 
-TEST(PeerCodec, KeepsTheFieldsOfARoute)
+TEST(PeerCodec, RoundTripsRouteFields)
 {
     RouteUpdate update;
     update.cell = cell;
@@ -50,7 +50,7 @@
     EXPECT_EQ(copy.shares.front().coldSlots, 3U);
 }
 
-TEST(PeerCodec, RejectsWhatIsNotAMessage)
+TEST(PeerCodec, RejectsMalformedMessages)
 {
     EXPECT_FALSE(decodePeerEnvelope("").hasValue());
     EXPECT_FALSE(decodePeerEnvelope(std::string(64, '\xff')).hasValue());
