Plainer wording in the reference and fuzz tests

Comments and names of tests are reworded. Renames, all within these files: damaged -> corrupted, damagesPerCase -> corruptionsPerCase, expectSoundOrError -> expectValidOrError, coolest -> leastLoaded; tests are named after what they check.

The comparison without comments shows no change of structure, no changed literal and no many-to-one rename for these files.

--- a/tests/fuzz/generators.hpp
+++ b/tests/fuzz/generators.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Random values of the codecs' types, and random damage to encoded ones.
+/// \brief Generators of random messages and records, and random corruption of encoded bytes.
 #pragma once
 
 #include "yuccaspan/peer_message.hpp"
@@ -13,8 +13,8 @@
 
 namespace yuccaspan::fuzz {
 
-/// Damaged inputs tried in each case of a property.
-inline constexpr int damagesPerCase = 30;
+/// Number of corrupted inputs in each case of a property.
+inline constexpr int corruptionsPerCase = 30;
 
 template <typename T>
 T any()
@@ -118,8 +118,8 @@
     }
 }
 
-/// Changes, drops, repeats or inserts a few bytes.
-inline std::string damaged(std::string bytes)
+/// Overwrites, deletes, duplicates or inserts a few bytes.
+inline std::string corrupted(std::string bytes)
 {
     const int changes = *rc::gen::inRange(1, 6);
     for (int i = 0; i < changes && !bytes.empty(); ++i) {
--- a/tests/fuzz/test_classify_fuzz.cpp
+++ b/tests/fuzz/test_classify_fuzz.cpp
@@ -24,7 +24,7 @@
     return settings;
 }
 
-/// A request target near the valid ones.
+/// A request target similar to the valid ones.
 std::string anyTarget()
 {
     const auto start = *rc::gen::element<std::string>("/stock", "/stock/header", "/stock/query",
@@ -34,11 +34,11 @@
     return start + middle + fuzz::any<std::string>();
 }
 
-RC_GTEST_PROP(ClassifyFuzz, EveryTargetHasAKeyOrAReason, ())
+RC_GTEST_PROP(ClassifyFuzz, ReturnsKeyOrReasonForEveryTarget, ())
 {
     const Settings settings = makeSettings();
     const auto header = fuzz::any<std::string>();
-    for (int i = 0; i < fuzz::damagesPerCase; ++i) {
+    for (int i = 0; i < fuzz::corruptionsPerCase; ++i) {
         const std::string target = anyTarget();
         const RequestHead head{"GET", target,
                                [&](std::string_view) { return std::string_view(header); }};
--- a/tests/fuzz/test_peer_fuzz.cpp
+++ b/tests/fuzz/test_peer_fuzz.cpp
@@ -3,7 +3,7 @@
 namespace yuccaspan {
 namespace {
 
-/// Whatever decodes must be a message that keeps its value; all else is a ParseFailed.
+/// Checks that bytes decode to a message that survives a round trip, or fail with ParseFailed.
 void expectValueOrParseFailed(const std::string &bytes)
 {
     const auto decoded = decodePeerEnvelope(bytes);
@@ -17,7 +17,7 @@
     RC_ASSERT(encodePeerEnvelope(*copy) == again);
 }
 
-RC_GTEST_PROP(PeerFuzz, DecodeReversesEncode, ())
+RC_GTEST_PROP(PeerFuzz, RoundTripPreservesMessages, ())
 {
     const PeerEnvelope envelope{fuzz::anyName<InstanceId>(), fuzz::anyMessage()};
     const auto decoded = decodePeerEnvelope(encodePeerEnvelope(envelope));
@@ -25,12 +25,12 @@
     RC_ASSERT(*decoded == envelope);
 }
 
-RC_GTEST_PROP(PeerFuzz, DamagedMessagesNeverCrash, ())
+RC_GTEST_PROP(PeerFuzz, CorruptedMessagesNeverCrash, ())
 {
     const PeerEnvelope envelope{InstanceId("e1#7"), fuzz::anyMessage()};
     const std::string bytes = encodePeerEnvelope(envelope);
-    for (int i = 0; i < fuzz::damagesPerCase; ++i)
-        expectValueOrParseFailed(fuzz::damaged(bytes));
+    for (int i = 0; i < fuzz::corruptionsPerCase; ++i)
+        expectValueOrParseFailed(fuzz::corrupted(bytes));
 }
 
 RC_GTEST_PROP(PeerFuzz, RandomBytesNeverCrash, ())
@@ -47,21 +47,21 @@
     RC_ASSERT(decoded.error().code == ErrorCode::ParseFailed);
 }
 
-/// Inputs that once were, or might be, troublesome: sizes far beyond the bytes given, deep nesting,
-/// unknown kinds of fields.
+/// Inputs that have caused or could cause faults: length prefixes beyond the input, deep nesting,
+/// unknown field types.
 TEST(PeerFuzz, CorpusIsRejected)
 {
     const std::vector<std::string> corpus{
         "",
         std::string(1, '\0'),
-        std::string(4096, '\x1c'), // structures within structures
-        std::string("\x18\xff\xff\xff\xff\x0f", 6), // text of 4 GB
+        std::string(4096, '\x1c'), // nested structures
+        std::string("\x18\xff\xff\xff\xff\x0f", 6), // string with a length prefix of 4 GB
         std::string("\x18\x04"
                     "e1#7"
                     "\x1c\x1c\x19\xfc\xff\xff\xff\xff\x07",
-                    14), // list of 2 G structures
-        std::string("\x18\x80\x80\x80\x80\x80\x80\x80\x80\x80\x80\x01", 12), // endless number
-        std::string("\x1d\x00\x00", 3), // type that does not exist
+                    14), // list with a length prefix of 2 G structures
+        std::string("\x18\x80\x80\x80\x80\x80\x80\x80\x80\x80\x80\x01", 12), // unterminated varint
+        std::string("\x1d\x00\x00", 3), // unknown field type
         "{\"from\":\"e1#7\"}",
     };
     for (const std::string &bytes : corpus) {
--- a/tests/fuzz/test_record_fuzz.cpp
+++ b/tests/fuzz/test_record_fuzz.cpp
@@ -10,7 +10,7 @@
 
 constexpr KeyHash lastHash = std::numeric_limits<KeyHash>::max();
 
-/// A name of printable characters: JSON holds no other bytes without change.
+/// A name of printable characters, which JSON encodes without loss.
 template <typename NameType>
 NameType printableName()
 {
@@ -50,8 +50,8 @@
     return record;
 }
 
-/// Whatever decodes is a record whose slices follow one another and cover its range.
-void expectSoundOrError(const std::string &text)
+/// Checks that bytes that decode give a record with contiguous slices that cover its range.
+void expectValidOrError(const std::string &text)
 {
     const auto record = decodeCellRecord(text);
     if (!record) {
@@ -68,7 +68,7 @@
     RC_ASSERT(*decodeCellRecord(*again) == *record);
 }
 
-RC_GTEST_PROP(RecordFuzz, DecodeReversesEncode, ())
+RC_GTEST_PROP(RecordFuzz, RoundTripPreservesRecords, ())
 {
     const CellRecord record = anyRecord();
     const auto text = encodeCellRecord(record);
@@ -78,11 +78,11 @@
     RC_ASSERT(*copy == record);
 }
 
-RC_GTEST_PROP(RecordFuzz, DamagedRecordsNeverCrash, ())
+RC_GTEST_PROP(RecordFuzz, CorruptedRecordsNeverCrash, ())
 {
     const std::string text = *encodeCellRecord(anyRecord());
-    for (int i = 0; i < fuzz::damagesPerCase; ++i)
-        expectSoundOrError(fuzz::damaged(text));
+    for (int i = 0; i < fuzz::corruptionsPerCase; ++i)
+        expectValidOrError(fuzz::corrupted(text));
 }
 
 std::string recordWithSlices(const std::string &slices)
@@ -118,15 +118,15 @@
         recordWithSlices(""),
         recordWithSlices("7"),
         recordWithSlices(sliceText("0000000000000000", "7fffffffffffffff")), // a gap at the end
-        recordWithSlices(sliceText("8000000000000000", "7fffffffffffffff")), // upside down
+        recordWithSlices(sliceText("8000000000000000", "7fffffffffffffff")), // inverted range
         recordWithSlices(sliceText("0", "ffffffffffffffffff")),
     };
     for (const std::string &text : corpus)
         EXPECT_FALSE(decodeCellRecord(text).hasValue()) << text.substr(0, 300);
 }
 
-/// The hash after the last one is 0 again: two slices of the whole range must not pass for
-/// neighbours.
+/// The hash after the maximum wraps around to 0: two slices of the whole range must not be accepted
+/// as contiguous.
 TEST(RecordFuzz, SlicesThatWrapAroundAreRejected)
 {
     const std::string whole = sliceText("0000000000000000", "ffffffffffffffff");
--- a/tests/fuzz/test_settings_fuzz.cpp
+++ b/tests/fuzz/test_settings_fuzz.cpp
@@ -16,7 +16,7 @@
       "keySource": "header", "keyName": "X-Depot"}}}}
 })";
 
-/// Either settings that survive a round trip, or at least one typed error with a text.
+/// Checks for either settings that survive a round trip, or errors with a code and a text.
 void expectSettingsOrErrors(const SettingsResult &result)
 {
     if (const auto *errors = std::get_if<std::vector<Error>>(&result)) {
@@ -31,10 +31,10 @@
     RC_ASSERT(*again == loaded.settings);
 }
 
-RC_GTEST_PROP(SettingsFuzz, DamagedDocumentsGiveErrors, ())
+RC_GTEST_PROP(SettingsFuzz, CorruptedDocumentsGiveErrors, ())
 {
-    for (int i = 0; i < fuzz::damagesPerCase; ++i)
-        expectSettingsOrErrors(checkSettings(fuzz::damaged(std::string(smallDocument))));
+    for (int i = 0; i < fuzz::corruptionsPerCase; ++i)
+        expectSettingsOrErrors(checkSettings(fuzz::corrupted(std::string(smallDocument))));
 }
 
 RC_GTEST_PROP(SettingsFuzz, RandomTextGivesErrors, ())
@@ -42,21 +42,21 @@
     expectSettingsOrErrors(checkSettings(fuzz::any<std::string>()));
 }
 
-RC_GTEST_PROP(SettingsFuzz, DamagedPatchesGiveErrors, ())
+RC_GTEST_PROP(SettingsFuzz, CorruptedPatchesGiveErrors, ())
 {
     const std::string patch = R"({"services":{"stock":{"targets":{"t1":{"slots":7}}}}})";
     expectSettingsOrErrors(mergeSettings(
-        {{"10.json", std::string(smallDocument)}, {"20.json", fuzz::damaged(patch)}}));
+        {{"10.json", std::string(smallDocument)}, {"20.json", fuzz::corrupted(patch)}}));
 }
 
-TEST(SettingsFuzz, UndamagedDocumentIsAccepted)
+TEST(SettingsFuzz, ValidDocumentIsAccepted)
 {
     const auto settings = parseSettings(smallDocument);
     ASSERT_TRUE(settings.hasValue()) << settings.error();
     EXPECT_EQ(settings->services.size(), 1U);
 }
 
-/// Inputs that parsers have fallen over: deep nesting, huge numbers, broken UTF-8, doubled keys.
+/// Inputs that have broken parsers: deep nesting, huge numbers, invalid UTF-8, duplicate keys.
 TEST(SettingsFuzz, CorpusIsRejected)
 {
     const std::vector<std::string> corpus{
--- a/tests/naive/balance_reference.hpp
+++ b/tests/naive/balance_reference.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief A naive balancer that the tests hold the real one against.
+/// \brief Reference balancer for comparison in tests.
 #pragma once
 
 #include "yuccaspan/balancer.hpp"
@@ -10,7 +10,7 @@
 
 namespace yuccaspan::naive {
 
-/// \brief Load of each target, with slices as they will be once all moves have ended.
+/// \brief Load of each target, assuming that all moves have completed.
 [[nodiscard]] inline std::map<TargetId, double> loadOfTargets(const BalanceInput &input)
 {
     std::map<TargetId, double> loads;
@@ -26,9 +26,9 @@
     return loads;
 }
 
-/// \brief Reassigns every slice from scratch: largest first, to the target with the lowest load
-/// to capacity. The best balance that is simple to reach; it ignores churn.
-/// \returns Max over mean of load to capacity.
+/// \brief Reassigns all slices greedily: largest first, to the target with the lowest ratio of load
+/// to capacity. Gives the best balance of a simple algorithm and ignores churn.
+/// \returns The maximum ratio of load to capacity, divided by that of the totals.
 [[nodiscard]] inline double bestSimpleImbalance(const BalanceInput &input)
 {
     std::vector<double> slices;
@@ -47,11 +47,11 @@
         capacity += target.capacity;
     }
     for (const double slice : slices) {
-        const auto coolest = std::min_element(
+        const auto leastLoaded = std::min_element(
             targets.begin(), targets.end(), [slice](const auto &left, const auto &right) {
                 return (left.first + slice) / left.second < (right.first + slice) / right.second;
             });
-        coolest->first += slice;
+        leastLoaded->first += slice;
     }
     double worst = 0;
     for (const auto &[load, slots] : targets)
--- a/tests/naive/placement_routes.hpp
+++ b/tests/naive/placement_routes.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Naive routes of one cell: every state is kept whole, and the latest one wins.
+/// \brief Reference implementation of a cell's routes: stores all states; the latest wins.
 #pragma once
 
 #include "yuccaspan/peer_message.hpp"
@@ -11,7 +11,7 @@
 
 namespace yuccaspan::naive {
 
-/// \brief All states that a placer ever published, and what an entry should make of them.
+/// \brief All states published by placers, and the routes and lease that an entry should derive.
 class PlacementRoutes
 {
 public:
--- a/tests/naive/settings_generators.hpp
+++ b/tests/naive/settings_generators.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Random settings and documents.
+/// \brief Generators of random settings and documents.
 #pragma once
 
 #include "yuccaspan/settings.hpp"
@@ -12,7 +12,7 @@
 
 namespace yuccaspan {
 
-/// Draws one of the given values.
+/// Generates one of the given values.
 template <typename T>
 T pick(std::initializer_list<T> values)
 {
@@ -83,7 +83,7 @@
     return service;
 }
 
-/// Settings that pass every check; the first zone is in.
+/// Valid settings; the first zone is not out.
 inline Settings anySettings()
 {
     Settings settings;
@@ -100,7 +100,7 @@
     return settings;
 }
 
-/// Any JSON value over few keys, so that documents overlap.
+/// A random JSON value with few distinct keys, so that documents overlap.
 inline nlohmann::json anyJson(int depth)
 {
     const int kind = between(0, depth > 0 ? 6 : 3);
--- a/tests/naive/settings_naive.hpp
+++ b/tests/naive/settings_naive.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief A naive version of merging, reading and rule matching, to compare with.
+/// \brief Reference implementation of merging, reading and rule matching, for differential tests.
 #pragma once
 
 #include "yuccaspan/settings_io.hpp"
@@ -14,7 +14,7 @@
 
 using Json = nlohmann::json;
 
-/// The function MergePatch of RFC 7396, section 2.
+/// The MergePatch function of RFC 7396, section 2.
 inline Json mergePatch(Json target, const Json &patch)
 {
     if (!patch.is_object())
@@ -30,7 +30,7 @@
     return target;
 }
 
-/// The last document that gives a member a value, by index.
+/// Index of the last document that sets a member.
 inline std::optional<std::size_t> lastSetter(const std::vector<Json> &documents,
                                              const Json::json_pointer &pointer)
 {
@@ -96,7 +96,7 @@
     return service;
 }
 
-/// Reads a valid document, field by field.
+/// Reads a valid document.
 inline Settings readSettings(const Json &document)
 {
     Settings settings;
@@ -112,26 +112,26 @@
 inline std::vector<std::string> segments(const std::string &path)
 {
     std::vector<std::string> result;
-    for (const char letter : path) {
-        if (letter == '/')
+    for (const char character : path) {
+        if (character == '/')
             result.emplace_back();
         else
-            result.back() += letter;
+            result.back() += character;
     }
     return result;
 }
 
-/// Index of the first rule that matches, found segment by segment.
+/// Index of the first matching rule, comparing segment by segment.
 inline std::optional<std::size_t> findRule(const ServiceSettings &service,
                                            const std::string &method, const std::string &path)
 {
-    const std::vector<std::string> wanted = segments(path);
+    const std::vector<std::string> pathSegments = segments(path);
     for (std::size_t index = 0; index < service.rules.size(); ++index) {
         const RequestRule &rule = service.rules[index];
         const std::vector<std::string> prefix = segments(rule.path);
-        bool matches = prefix.size() <= wanted.size();
+        bool matches = prefix.size() <= pathSegments.size();
         for (std::size_t at = 0; matches && at < prefix.size(); ++at)
-            matches = prefix[at] == wanted[at];
+            matches = prefix[at] == pathSegments[at];
         if (matches && (rule.method.empty() || rule.method == method))
             return index;
     }
--- a/tests/naive/settings_test.cpp
+++ b/tests/naive/settings_test.cpp
@@ -11,7 +11,7 @@
 
 using nlohmann::json;
 
-RC_GTEST_PROP(SettingsDifferential, MergeAndPlacesAreThoseOfTheNaiveVersion, ())
+RC_GTEST_PROP(SettingsDifferential, MergeAndLocationsMatchReference, ())
 {
     std::vector<json> documents;
     impl::MergedJson merged;
@@ -42,7 +42,7 @@
     }
 }
 
-RC_GTEST_PROP(SettingsDifferential, EveryMemberOutsideArraysHasAPlace, ())
+RC_GTEST_PROP(SettingsDifferential, RecordsLocationOfMembersOutsideArrays, ())
 {
     json document = anyJson(4);
     if (!document.is_object())
@@ -60,7 +60,7 @@
     }
 }
 
-RC_GTEST_PROP(SettingsDifferential, ReadingIsThatOfTheNaiveVersion, ())
+RC_GTEST_PROP(SettingsDifferential, ReadingMatchesReference, ())
 {
     const Settings settings = anySettings();
     const json document = json::parse(writeSettings(settings));
@@ -86,7 +86,7 @@
     RC_ASSERT(loaded.settings == naive::readSettings(expected));
 }
 
-RC_GTEST_PROP(SettingsRoundTrip, ParsingWhatWasWrittenGivesTheSame, ())
+RC_GTEST_PROP(SettingsRoundTrip, WrittenSettingsParseToSameSettings, ())
 {
     const Settings settings = anySettings();
     const Result<Settings> parsed = parseSettings(writeSettings(settings));
@@ -94,7 +94,7 @@
     RC_ASSERT(*parsed == settings);
 }
 
-/// A service with rules that often shadow each other.
+/// A service whose rules often shadow each other.
 ServiceSettings anyShadowingService()
 {
     ServiceSettings service;
@@ -107,7 +107,7 @@
     return service;
 }
 
-RC_GTEST_PROP(SettingsDifferential, TheFirstMatchingRuleIsThatOfTheNaiveVersion, ())
+RC_GTEST_PROP(SettingsDifferential, FirstMatchingRuleMatchesReference, ())
 {
     const ServiceSettings service = anyShadowingService();
     const std::string method = pick<std::string>({"GET", "POST", "PUT"});
@@ -120,7 +120,7 @@
         RC_ASSERT(found == &service.rules[*expected]);
 }
 
-RC_GTEST_PROP(SettingsDifferential, ExactlyTheRulesThatMatchNothingAreReported, ())
+RC_GTEST_PROP(SettingsDifferential, ReportsExactlyTheRulesThatNeverMatch, ())
 {
     Settings settings = anySettings();
     ServiceSettings &service = settings.services.front();
@@ -142,7 +142,7 @@
     }
 }
 
-RC_GTEST_PROP(SettingsFuzz, AnyTextIsReadOrRefusedWithAPlace, (const std::string &text))
+RC_GTEST_PROP(SettingsFuzz, RejectsInvalidTextWithLocation, (const std::string &text))
 {
     const SettingsResult result = mergeSettings({{"f.json", text}});
     const auto *errors = std::get_if<std::vector<Error>>(&result);
@@ -151,11 +151,11 @@
     RC_ASSERT(errors->front().place.file == "f.json");
 }
 
-RC_GTEST_PROP(SettingsFuzz, DamagedDocumentsAreReadOrRefused, ())
+RC_GTEST_PROP(SettingsFuzz, CorruptedDocumentsGiveSettingsOrErrors, ())
 {
     std::string text = writeSettings(anySettings());
-    const int damages = between(1, 6);
-    for (int damage = 0; damage < damages; ++damage) {
+    const int corruptions = between(1, 6);
+    for (int corruption = 0; corruption < corruptions; ++corruption) {
         const std::size_t at = between<std::size_t>(0, text.size() - 1);
         const std::size_t length = between<std::size_t>(0, 8);
         text.replace(at, length,
@@ -171,7 +171,7 @@
     RC_ASSERT(parseSettings(writeSettings(loaded.settings)).hasValue());
 }
 
-RC_GTEST_PROP(SettingsFuzz, ReplacedValuesAreReadOrRefusedAtTheirPlace, ())
+RC_GTEST_PROP(SettingsFuzz, ReportsReplacedValuesAtTheirLocation, ())
 {
     json document = json::parse(writeSettings(anySettings()));
     const json flat = document.flatten();
@@ -187,7 +187,7 @@
     RC_ASSERT(named);
 }
 
-TEST(SettingsFuzz, HugeAndDeepDocumentsAreRefused)
+TEST(SettingsFuzz, RejectsOversizedAndDeepDocuments)
 {
     const std::string deep(100000, '[');
     EXPECT_TRUE(std::holds_alternative<std::vector<Error>>(checkSettings(deep)));
