--- a/src/placement/entry_view.cpp
+++ b/src/placement/entry_view.cpp
@@ -7,8 +7,8 @@
 namespace yuccaspan::impl {
 
 namespace {
-/// Acknowledgements whose sending time is remembered.
-constexpr std::size_t rememberedAcks = 64;
+/// Number of acknowledgements whose send time is kept.
+constexpr std::size_t maxTrackedAcks = 64;
 } // namespace
 
 void overlayRoutes(std::vector<Route> &routes, const std::vector<Route> &changes)
@@ -46,8 +46,8 @@
 EntryView::EntryView(CellId cell) : m_cell(std::move(cell))
 { }
 
-void EntryView::updated(Context &context, const InstanceId &from, const RouteUpdate &update,
-                        TimePoint now)
+void EntryView::onUpdate(Context &context, const InstanceId &from, const RouteUpdate &update,
+                         TimePoint now)
 {
     if (update.term < m_term)
         return;
@@ -62,10 +62,10 @@
         acknowledge(context, now);
         return;
     }
-    m_heardAt = now;
+    m_lastUpdateAt = now;
     m_leaseSequence = std::max(m_leaseSequence, update.leaseSequence);
     extendLease(context, update, now);
-    keepIdle();
+    removeStaleIdle();
     publish(context);
     if (!update.shares.empty())
         context.actions.push_back(
@@ -99,12 +99,12 @@
     const auto ack = std::ranges::find(m_acks, update.echoSequence, &SentAck::sequence);
     if (ack == m_acks.end() || update.viewLease <= Duration::zero())
         return;
-    const bool fromReceipt = context.mutation == ProtocolMutation::LeaseCountedFromReceipt;
-    m_leaseEnd = std::max(m_leaseEnd, (fromReceipt ? now : ack->sentAt) + update.viewLease);
+    const bool countsFromReceipt = context.mutation == ProtocolMutation::LeaseCountedFromReceipt;
+    m_leaseEnd = std::max(m_leaseEnd, (countsFromReceipt ? now : ack->sentAt) + update.viewLease);
 }
 
-void EntryView::becameIdle(Context &context, const KeyRange &range, FencingToken token,
-                           TimePoint now)
+void EntryView::onSliceIdle(Context &context, const KeyRange &range, FencingToken token,
+                            TimePoint now)
 {
     const GrantedSlice idle{range, token};
     const bool isHeld = std::ranges::any_of(m_routes, [&](const Route &route) {
@@ -117,17 +117,17 @@
         acknowledge(context, now);
 }
 
-void EntryView::observedRecord(Context &context, const CellRecord &record, TimePoint now)
+void EntryView::onRecordObserved(Context &context, const CellRecord &record, TimePoint now)
 {
     const bool isNewer = record.term > m_term;
-    const bool isSilent = now - m_heardAt > 2 * context.timing.viewLeaseLength;
-    if (!isNewer && !(record.term == m_term && isSilent))
+    const bool isPlacerUnresponsive = now - m_lastUpdateAt > 2 * context.timing.viewLeaseLength;
+    if (!isNewer && !(record.term == m_term && isPlacerUnresponsive))
         return;
     std::vector<Route> routes = routesOfRecord(record);
     if (routes == m_routes && !isNewer)
         return;
-    // The view lease covers only what a placer said, so that targets that do not check grants get
-    // nothing under routes of the record.
+    // The view lease covers only routes sent by a placer, so that targets that do not check grants
+    // receive no requests under routes taken from the record.
     m_leaseEnd = TimePoint();
     m_routes = std::move(routes);
     m_range = record.range;
@@ -137,7 +137,7 @@
     m_sequence = 0;
     m_placer = InstanceId();
     m_acks.clear();
-    keepIdle();
+    removeStaleIdle();
     publish(context);
 }
 
@@ -152,12 +152,12 @@
     for (const GrantedSlice &idle : m_idle)
         ack.idle.push_back(idle.range);
     m_acks.push_back({ack.ackSequence, now});
-    if (m_acks.size() > rememberedAcks)
+    if (m_acks.size() > maxTrackedAcks)
         m_acks.pop_front();
     context.send(m_placer, std::move(ack));
 }
 
-void EntryView::keepIdle()
+void EntryView::removeStaleIdle()
 {
     std::erase_if(m_idle, [&](const GrantedSlice &idle) {
         return std::ranges::none_of(m_routes, [&](const Route &route) {
--- a/src/placement/placer_plan.cpp
+++ b/src/placement/placer_plan.cpp
@@ -1,4 +1,4 @@
-// What a placer changes: slices of lost targets, the balancer's plan, requests of operators.
+// Plans changes: evacuating lost targets, the balancer's plan, operator requests.
 #include "placement/placer.hpp"
 
 #include <algorithm>
@@ -9,7 +9,7 @@
 
 namespace {
 constexpr Duration planInterval = std::chrono::milliseconds(100);
-/// Bound on splits and merges that wait for a write.
+/// Maximum number of splits and merges that wait for a write.
 constexpr std::size_t maxShapeChanges = 64;
 } // namespace
 
@@ -26,7 +26,7 @@
     if (context.findService(m_record.cell.service) == nullptr)
         return;
     watchTargets(context);
-    evacuateLost(context, now);
+    evacuateLostTargets(context, now);
     if (m_life.phase() == PlacerPhase::Active)
         planByBalancer(context, now);
     shareCapacities(context, now);
@@ -39,24 +39,24 @@
         if (!target.checksGrants)
             m_unchecked.insert(target.id);
     }
-    const bool homeServes = std::ranges::any_of(service.targets, [&](const auto &target) {
+    const bool homeZoneServes = std::ranges::any_of(service.targets, [&](const auto &target) {
         return target.zone == m_record.cell.zone && isUsable(context, target)
             && m_book.phase(target.id) == TargetPhase::Serving;
     });
-    std::set<TargetId> wanted;
+    std::set<TargetId> watched;
     for (const TargetSettings &target : service.targets) {
-        if (!homeServes || target.zone == m_record.cell.zone)
-            wanted.insert(target.id);
+        if (!homeZoneServes || target.zone == m_record.cell.zone)
+            watched.insert(target.id);
     }
     for (const SliceRun &run : m_runs) {
         if (!run.record.owner.empty())
-            wanted.insert(run.record.owner);
+            watched.insert(run.record.owner);
         if (run.move)
-            wanted.insert(run.move->to);
+            watched.insert(run.move->to);
     }
-    for (const TargetId &target : wanted)
+    for (const TargetId &target : watched)
         m_book.watch(target);
-    m_book.keepOnly([&](const TargetId &target) { return wanted.contains(target); });
+    m_book.keepOnly([&](const TargetId &target) { return watched.contains(target); });
 }
 
 bool Placer::isUsable(const Context &context, const TargetSettings &target) const
@@ -85,15 +85,15 @@
     return targets;
 }
 
-void Placer::evacuateLost(Context &context, TimePoint now)
+void Placer::evacuateLostTargets(Context &context, TimePoint now)
 {
     const ServiceSettings &service = *context.findService(m_record.cell.service);
     std::map<TargetId, double> slices;
     for (const SliceRun &run : m_runs)
         ++slices[run.move ? run.move->to : run.record.owner];
     const auto score = [&](const TargetSettings &target) {
-        const bool isAway = target.zone != m_record.cell.zone;
-        return std::pair(isAway, (slices[target.id] + 1) / std::max(target.slots, 1U));
+        const bool isOtherZone = target.zone != m_record.cell.zone;
+        return std::pair(isOtherZone, (slices[target.id] + 1) / std::max(target.slots, 1U));
     };
     for (SliceRun &run : m_runs) {
         const TargetId &owner = run.record.owner;
@@ -109,7 +109,7 @@
             if (best == nullptr || score(target) < score(*best))
                 best = &target;
         }
-        if (best != nullptr && startMove(context, run, best->id, "its owner is lost", now))
+        if (best != nullptr && startMove(context, run, best->id, "the owner is lost", now))
             ++slices[best->id];
     }
 }
@@ -130,16 +130,16 @@
             if (run != nullptr && movesUnderWay() < input.maxMoves)
                 (void)startMove(context, *run, move->to, move->why, now);
         } else if (const auto *split = std::get_if<PlannedSplit>(&change)) {
-            splitRequested({m_record.cell, split->range, split->secondFirst});
+            onSplitRequest({m_record.cell, split->range, split->secondFirst});
         } else {
             const auto &merge = std::get<PlannedMerge>(change);
-            mergeRequested({m_record.cell, merge.lower, merge.upper});
+            onMergeRequest({m_record.cell, merge.lower, merge.upper});
         }
     }
 }
 
-bool Placer::startMove(Context &context, SliceRun &run, const TargetId &to, const std::string &why,
-                       TimePoint now)
+bool Placer::startMove(Context &context, SliceRun &run, const TargetId &to,
+                       const std::string &reason, TimePoint now)
 {
     const TargetSettings *target = context.findTarget(m_record.cell.service, to);
     const bool isPossible =
@@ -149,16 +149,16 @@
     m_book.watch(to);
     run.move.emplace();
     run.move->to = to;
-    run.move->why = why;
+    run.move->why = reason;
     run.move->since = now;
     const std::string from = run.record.owner.empty() ? "nobody" : run.record.owner.text();
     context.log("placement",
                 "Moves " + sliceName(run.record.range) + " from " + from + " to " + to.text() + ": "
-                    + why + ".");
+                    + reason + ".");
     return true;
 }
 
-void Placer::moveRequested(Context &context, const MoveRequestEvent &request, TimePoint now)
+void Placer::onMoveRequest(Context &context, const MoveRequestEvent &request, TimePoint now)
 {
     SliceRun *run = findRun(request.range);
     const bool isStarted = !isRetired() && m_life.phase() != PlacerPhase::HandingOver
@@ -167,17 +167,17 @@
         progress(context, now);
     else
         context.log("placement",
-                    "Refuses to move " + sliceName(request.range) + " to " + request.to.text()
-                        + ".");
+                    "Rejects the request to move " + sliceName(request.range) + " to "
+                        + request.to.text() + ".");
 }
 
-void Placer::splitRequested(const SplitRequestEvent &request)
+void Placer::onSplitRequest(const SplitRequestEvent &request)
 {
     if (m_shapeChanges.size() < maxShapeChanges)
         m_shapeChanges.push_back({PlannedSplit{request.range, request.secondFirst}});
 }
 
-void Placer::mergeRequested(const MergeRequestEvent &request)
+void Placer::onMergeRequest(const MergeRequestEvent &request)
 {
     if (m_shapeChanges.size() < maxShapeChanges)
         m_shapeChanges.push_back({PlannedMerge{request.lower, request.upper}});
@@ -191,8 +191,8 @@
 
 void Placer::shareCapacities(Context &context, TimePoint now)
 {
-    // A target's slots are divided by one placer only, that of the first cell of the target's zone,
-    // whichever cells own slices there. Without a share an instance keeps to its floor.
+    // Only one placer divides a target's slots: that of the first cell of the target's zone,
+    // whichever cells own slices there. An instance without a share uses its minimum.
     if (!context.policy.shareCapacity || m_record.cell.index != 0)
         return;
     std::map<InstanceId, std::vector<CapacityShare>> shares;
--- a/src/placement/placer_record.cpp
+++ b/src/placement/placer_record.cpp
@@ -1,4 +1,4 @@
-// The next record that a placer commits: moves, splits, merges, candidates, hand-over.
+// Builds the next record to commit: moves, splits, merges, candidates, handover.
 #include "placement/candidate_choice.hpp"
 #include "placement/placer.hpp"
 
@@ -9,17 +9,17 @@
 
 namespace {
 
-/// Shortest time between writes that only confirm the term.
-constexpr Duration touchSpacing = std::chrono::milliseconds(250);
-/// A leaving placer that nobody can succeed gives up after this time.
-constexpr Duration handOverLimit = std::chrono::seconds(2);
+/// Minimum interval between writes that only confirm the term.
+constexpr Duration minConfirmInterval = std::chrono::milliseconds(250);
+/// A leaving placer without a successor retires after this time.
+constexpr Duration handoverTimeout = std::chrono::seconds(2);
 
 std::vector<SliceRecord>::iterator findSlice(CellRecord &record, const KeyRange &range)
 {
     return std::ranges::find(record.slices, range, &SliceRecord::range);
 }
 
-// Whether the slice is settled in the committed record and untouched in the next one.
+// Whether the slice is settled in the committed record and unchanged in the next one.
 bool isSettled(const CellRecord &committed, CellRecord &next, const KeyRange &range)
 {
     const auto before = std::ranges::find(committed.slices, range, &SliceRecord::range);
@@ -60,12 +60,12 @@
 
 void Placer::writeIfNeeded(Context &context, TimePoint now)
 {
-    if (isRetired() || !m_writer.mayStart(now))
+    if (isRetired() || !m_writer.canStart(now))
         return;
     bool changed = false;
     CellRecord next = nextRecord(context, now, changed);
-    const bool isTouch = !changed && isTouchDue(now);
-    if (!changed && !isTouch)
+    const bool isConfirmation = !changed && isConfirmationDue(now);
+    if (!changed && !isConfirmation)
         return;
     Result<std::string> text = encodeCellRecord(next);
     if (!text) {
@@ -76,14 +76,14 @@
     }
     m_isRecordTooLarge = false;
     if (next.candidates != m_record.candidates) {
-        m_authority.keep(authorityUntil(now));
+        m_authority.extendUntil(authorityUntil(now));
         m_nextPromiseAt = now;
     }
-    m_nextWriteAt = now + touchSpacing;
+    m_nextWriteAt = now + minConfirmInterval;
     m_writer.start(context, std::move(next), std::move(text.value()), m_version, now);
 }
 
-bool Placer::isTouchDue(TimePoint now) const
+bool Placer::isConfirmationDue(TimePoint now) const
 {
     constexpr Duration margin = std::chrono::milliseconds(500);
     return authorityUntil(now) - now < margin && now >= m_nextWriteAt;
@@ -130,14 +130,14 @@
     const std::size_t maxSlices = service == nullptr ? 0 : service->maxSlicesPerCell;
     bool changed = false;
     for (const PlannedSplitOrMerge &item : m_shapeChanges) {
-        bool done = false;
+        bool isApplied = false;
         if (const auto *wanted = std::get_if<PlannedSplit>(&item.change))
-            done = split(m_record, record, *wanted, maxSlices);
+            isApplied = split(m_record, record, *wanted, maxSlices);
         else
-            done = merge(m_record, record, std::get<PlannedMerge>(item.change));
-        if (!done)
-            context.log("placement", "Passes over a split or merge that does not fit.");
-        changed = changed || done;
+            isApplied = merge(m_record, record, std::get<PlannedMerge>(item.change));
+        if (!isApplied)
+            context.log("placement", "Ignores a split or merge that no longer matches the slices.");
+        changed = changed || isApplied;
     }
     m_shapeChanges.clear();
     return changed;
@@ -145,10 +145,10 @@
 
 bool Placer::applyCandidates(const Context &context, CellRecord &record, TimePoint now)
 {
-    if (!m_earlierTerms.wasOver())
+    if (!m_earlierTerms.hasEnded())
         return false;
-    const Duration patience = 2 * context.timing.suspectAfter;
-    std::vector<InstanceId> unfit;
+    const Duration promiseTimeout = 2 * context.timing.suspectAfter;
+    std::vector<InstanceId> unsuitable;
     for (const InstanceId &candidate : record.candidates) {
         if (candidate == context.self.id)
             continue;
@@ -156,10 +156,10 @@
         const TimePoint heard = m_authority.lastPromise(candidate).value_or(since);
         const Member *member = context.findMember(candidate);
         const bool isLeaving = member != nullptr && member->leaving;
-        if (isLeaving || now - std::max(since, heard) > patience)
-            unfit.push_back(candidate);
+        if (isLeaving || now - std::max(since, heard) > promiseTimeout)
+            unsuitable.push_back(candidate);
     }
-    const bool changed = improveCandidates(context, record, unfit);
+    const bool changed = improveCandidates(context, record, unsuitable);
     std::erase_if(m_candidateSince, [&](const auto &item) {
         return std::ranges::find(record.candidates, item.first) == record.candidates.end();
     });
@@ -183,8 +183,8 @@
     const bool isAlone = std::ranges::none_of(context.members, [&](const Member &member) {
         return member.alive && !member.leaving && member.id != context.self.id;
     });
-    if (isAlone && now - m_leavingSince > handOverLimit)
-        retire(context, "no other instance can take it over");
+    if (isAlone && now - m_leavingSince > handoverTimeout)
+        retire(context, "no other instance can take over the cell");
 }
 
 } // namespace yuccaspan::impl
--- a/src/placement_policy/slice_split.cpp
+++ b/src/placement_policy/slice_split.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/// A key is isolated if it carries this part of its slice's load.
-constexpr double isolatePart = 0.4;
-/// The cut leaves at least this part of the range on either side.
-constexpr double minRangePart = 0.1;
+/// A key is isolated if it carries this fraction of its slice's load.
+constexpr double isolateFraction = 0.4;
+/// Each side of the split keeps at least this fraction of the range.
+constexpr double minRangeFraction = 0.1;
 
 [[nodiscard]] const HotKey *hottest(const ModelSlice &slice)
 {
@@ -20,13 +20,13 @@
     return found == slice.hotKeys.end() ? nullptr : &*found;
 }
 
-/// \brief The position at which the wanted part of an even load lies below the cut.
-[[nodiscard]] KeyHash evenCut(const ModelSlice &slice, double wanted)
+/// \brief The split point that leaves the wanted fraction of an evenly spread load below it.
+[[nodiscard]] KeyHash evenSplit(const ModelSlice &slice, double wanted)
 {
-    const double part =
-        std::clamp(wanted / std::max(slice.load, 1e-9), minRangePart, 1 - minRangePart);
+    const double fraction =
+        std::clamp(wanted / std::max(slice.load, 1e-9), minRangeFraction, 1 - minRangeFraction);
     const auto width = static_cast<double>(slice.range.last - slice.range.first);
-    const auto offset = static_cast<KeyHash>(width * part);
+    const auto offset = static_cast<KeyHash>(width * fraction);
     return slice.range.first + std::max<KeyHash>(1, offset);
 }
 
@@ -37,8 +37,8 @@
     if (slice.range.first == slice.range.last)
         return std::nullopt;
     const HotKey *key = hottest(slice);
-    if (key == nullptr || key->load < isolatePart * slice.load)
-        return evenCut(slice, wanted);
+    if (key == nullptr || key->load < isolateFraction * slice.load)
+        return evenSplit(slice, wanted);
     return key->hash > slice.range.first ? key->hash : key->hash + 1;
 }
 
--- a/tests/gateway/test_shard_delta.cpp
+++ b/tests/gateway/test_shard_delta.cpp
@@ -32,8 +32,9 @@
     return delta;
 }
 
-/// An instance that learns of an owner by a peer must not send more to it than a cold target bears.
-TEST(ShardDelta, tellsOfNewOwnersWithWhatIsLeftOfTheirColdSpan)
+/// An instance that learns of a new owner from the placer must not send it more requests than a
+/// cold target can handle.
+TEST(ShardDelta, includesNewTargetsWithTheirRemainingWarmup)
 {
     TargetDirectory placer;
     placer.put(coldEntry(), now, now);
@@ -43,7 +44,7 @@
     ASSERT_TRUE(read);
     ASSERT_EQ(read->targets.size(), 1U);
     TargetDirectory peer;
-    peer.putUnknown(read->targets.front(), now + seconds(1));
+    peer.putIfNew(read->targets.front(), now + seconds(1));
     const Target *known = peer.find("new");
     ASSERT_NE(known, nullptr);
     EXPECT_EQ(known->entry.address, "10.0.0.1:80");
@@ -51,7 +52,7 @@
     EXPECT_FALSE(known->cold(now + milliseconds(3100)));
 }
 
-TEST(ShardDelta, doesNotTellOfOwnersThatAllKnow)
+TEST(ShardDelta, omitsTargetsThatAllInstancesKnow)
 {
     TargetDirectory placer;
     placer.put(coldEntry(), now, now);
@@ -60,12 +61,12 @@
     EXPECT_TRUE(delta.targets.empty());
 }
 
-TEST(ShardDelta, doesNotBringATargetBackThatTheStoreRemoved)
+TEST(ShardDelta, doesNotRestoreATargetThatWasRemoved)
 {
     TargetDirectory peer;
     peer.put(coldEntry(), now, now);
     peer.remove("new", now, now);
-    peer.putUnknown(coldEntry(), now + milliseconds(100));
+    peer.putIfNew(coldEntry(), now + milliseconds(100));
     EXPECT_FALSE(peer.find("new")->listed);
 }
 
--- a/tests/placement/test_entry_view.cpp
+++ b/tests/placement/test_entry_view.cpp
@@ -51,9 +51,9 @@
     }
 }
 
-// A placer publishes by differences over a network that loses, repeats and reorders; the entry must
-// hold what a naive entry holds that gets every state whole.
-RC_GTEST_PROP(EntryView, AgreesWithNaiveRoutes, (std::uint64_t seed))
+// The placer publishes differences over a network that loses, duplicates and reorders messages. The
+// entry view must have the same routes as a naive model that receives every state in full.
+RC_GTEST_PROP(EntryView, AgreesWithNaiveModel, (std::uint64_t seed))
 {
     std::mt19937_64 random(seed);
     Context placer = makeContext(placerId);
@@ -61,14 +61,14 @@
     EntryView view(cell);
     naive::PlacementRoutes naive;
     std::vector<Route> routes{{{}, TargetId("t0"), {1}, RouteState::Open}};
-    std::vector<PeerEnvelope> wire;
+    std::vector<PeerEnvelope> messagesInFlight;
     TimePoint now(std::chrono::seconds(1));
     Term term{1};
     std::optional<RoutePublisher> publisher(std::in_place, cell, KeyRange{}, term);
     const auto collect = [&](Context &from) {
         for (const PlacementAction &action : from.actions) {
             if (const auto *send = std::get_if<SendPeerAction>(&action))
-                wire.push_back({from.self.id, send->message});
+                messagesInFlight.push_back({from.self.id, send->message});
             if (const auto *routesAction = std::get_if<RoutesAction>(&action)) {
                 const CellRoutes &got = *routesAction->routes;
                 RC_ASSERT(std::pair(got.term, got.sequence) == naive.present());
@@ -90,22 +90,23 @@
         naive.published(term, publisher->sequence(), routes);
         publisher->step(placer, now + milliseconds(random() % 2000), now);
         collect(placer);
-        while (!wire.empty() && random() % 3 != 0) {
-            const std::size_t pick = random() % wire.size();
-            const PeerEnvelope envelope = wire[pick];
+        while (!messagesInFlight.empty() && random() % 3 != 0) {
+            const std::size_t pick = random() % messagesInFlight.size();
+            const PeerEnvelope envelope = messagesInFlight[pick];
             if (random() % 10 != 0)
-                wire.erase(wire.begin() + static_cast<std::ptrdiff_t>(pick));
+                messagesInFlight.erase(messagesInFlight.begin()
+                                       + static_cast<std::ptrdiff_t>(pick));
             if (random() % 8 == 0)
                 continue;
             if (const auto *ack = std::get_if<RouteAck>(&envelope.message)) {
-                publisher->acknowledged(envelope.from, *ack, now);
+                publisher->onAcknowledged(envelope.from, *ack, now);
                 continue;
             }
             const auto &update = std::get<RouteUpdate>(envelope.message);
             const bool isNewTerm = update.term > naive.present().first;
             if (update.full || (!isNewTerm && update.baseSequence <= naive.present().second))
                 naive.delivered(update);
-            view.updated(entry, envelope.from, update, now);
+            view.onUpdate(entry, envelope.from, update, now);
             for (const PlacementAction &action : entry.actions) {
                 const auto *send = std::get_if<SendPeerAction>(&action);
                 if (send == nullptr)
@@ -118,7 +119,7 @@
     }
 }
 
-TEST(EntryView, FallsBackToANewerRecordWithoutViewLease)
+TEST(EntryView, UsesANewerRecordWithoutAViewLease)
 {
     Context entry = makeContext(entryId);
     EntryView view(cell);
@@ -127,7 +128,7 @@
     record.term = {3};
     record.slices = {{{0, 9}, TargetId("a"), {1}, SlicePhase::Settled, {}, {}},
                      {{10, ~0ULL}, TargetId("a"), {2}, SlicePhase::Moving, TargetId("b"), {3}}};
-    view.observedRecord(entry, record, TimePoint(milliseconds(1)));
+    view.onRecordObserved(entry, record, TimePoint(milliseconds(1)));
     ASSERT_EQ(entry.actions.size(), 1U);
     const auto &routes = *std::get<RoutesAction>(entry.actions[0]).routes;
     EXPECT_EQ(routes.viewLeaseEnd, TimePoint());
@@ -138,7 +139,7 @@
     older.term = {2};
     older.routes = {{{}, TargetId("old"), {1}, RouteState::Open}};
     entry.actions.clear();
-    view.updated(entry, placerId, older, TimePoint(milliseconds(2)));
+    view.onUpdate(entry, placerId, older, TimePoint(milliseconds(2)));
     EXPECT_TRUE(entry.actions.empty());
 }
 
