--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and the drivers of the cases into target/review/.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+pids=()
+for source in review/[1-5]/case.cpp; do
+    [ -e "$source" ] || continue
+    number=$(basename "$(dirname "$source")")
+    ${CXX:-g++} -std=c++20 -O2 -Wall -Wextra -pthread "$source" -o "target/review/case-$number" &
+    pids+=($!)
+done
+for pid in "${pids[@]}"; do wait "$pid"; done
