--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -530,6 +530,7 @@
     int slots = 6;
     int queue = 24;
     double workS = 0.1;
+    double coldS = 0; ///< Time for which it is cold after its start.
 };
 
 /// One life of an upstream.
@@ -557,8 +558,13 @@
     {
         const std::lock_guard lock(m_entryMutex);
         m_state = state;
+        const bool first = !std::exchange(m_checksIn, true);
+        if (first) {
+            m_born = unixMs();
+            m_start = Clock::now();
+        }
         m_store.put("servers", m_traits.id, entry());
-        if (std::exchange(m_checksIn, true))
+        if (!first)
             return;
         std::thread([this] {
             while (true) {
@@ -611,6 +617,10 @@
 private:
     static constexpr double heartbeatS = 0.87;
 
+    double coldLeft() const
+    {
+        return std::max(0.0, m_traits.coldS - seconds(Clock::now() - m_start));
+    }
     Json entry()
     {
         return {{"address", address()},
@@ -620,7 +630,8 @@
                   {"version", "v1"},
                   {"zone", m_traits.zone},
                   {"max_concurrency", m_traits.slots}}},
-                {"status", {{"state", m_state}, {"sequence", ++m_sequence}, {"warmup_left_s", 0}}}};
+                {"status",
+                 {{"state", m_state}, {"sequence", ++m_sequence}, {"warmup_left_s", coldLeft()}}}};
     }
 
     void serve(const std::shared_ptr<Connection> &connection)
@@ -766,6 +777,7 @@
     Store &m_store;
     UpstreamTraits m_traits;
     std::int64_t m_born;
+    TimePoint m_start = Clock::now();
     std::mutex m_entryMutex;
     std::string m_state;
     std::uint64_t m_sequence = 0;
