--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -23,6 +23,9 @@
 constexpr Duration defaultDeadline = std::chrono::seconds(5);
 /// Timeout of writing a response to a caller that does not read.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
+/// How long a caller's bytes are discarded after this instance ended a connection. Closing it with
+/// unread bytes would reset it, and the caller could lose the last response.
+constexpr Duration lingerTimeout = std::chrono::milliseconds(500);
 
 /// Hop-by-hop header fields, which are not forwarded.
 constexpr std::array<http::field, 8> connectionFields{
@@ -50,21 +53,24 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(Gateway &gateway, tcp::socket socket) : m_gateway(gateway), m_stream(std::move(socket))
+    Session(Gateway &gateway, tcp::socket socket)
+        : m_gateway(gateway), m_connections(gateway.callers), m_stream(std::move(socket))
     {
-        ++m_gateway.sessions;
+        m_connections->opened();
         const int on = 1;
         ::setsockopt(m_stream.socket().native_handle(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     }
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
-    ~Session() { --m_gateway.sessions; }
+    ~Session() { m_connections->closed(); }
 
     asio::awaitable<void> run()
     {
         while (co_await serveOne()) { }
         beast::error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (m_linger)
+            co_await discardInput();
     }
 
 private:
@@ -88,11 +94,13 @@
         parser.body_limit(limits.bodyBytes);
         if (m_buffer.size() == 0 && !co_await waitForData(limits.idleTimeout))
             co_return false;
+        const auto pending =
+            m_connections->reading(ReadPhase::Request, [this] { m_stream.cancel(); });
         m_stream.expires_after(limits.headerTimeout);
         const auto [headFailure, headBytes] =
             co_await http::async_read_header(m_stream, m_buffer, parser, asTuple);
         if (headFailure)
-            co_return co_await rejectMalformed(headFailure);
+            co_return co_await rejectUnread(headFailure);
         if (parser.get()[http::field::expect] == "100-continue") {
             http::response<http::empty_body> proceed(http::status::continue_, httpVersion11);
             co_await http::async_write(m_stream, proceed, asTuple);
@@ -101,27 +109,64 @@
         const auto [failure, bytes] =
             co_await http::async_read(m_stream, m_buffer, parser, asTuple);
         if (failure)
-            co_return co_await rejectMalformed(failure);
+            co_return co_await rejectUnread(failure);
         co_return true;
     }
 
-    /// Waits for the next request; returns false at once while the instance shuts down.
+    /// Waits for the next request; returns false if there is none and the instance stops.
     asio::awaitable<bool> waitForData(Duration longest)
     {
-        if (m_gateway.stopping && m_served)
-            co_return false;
-        m_stream.expires_after(longest);
-        const auto [failure, bytes] =
-            co_await m_stream.async_read_some(m_buffer.prepare(readBytes), asTuple);
-        if (failure)
-            co_return false;
-        m_buffer.commit(bytes);
-        co_return true;
+        while (true) {
+            if (m_gateway.closingCallers && !hasInput()) {
+                m_linger = true;
+                co_return false;
+            }
+            const auto pending =
+                m_connections->reading(ReadPhase::Idle, [this] { m_stream.cancel(); });
+            m_stream.expires_after(longest);
+            const auto [failure, bytes] =
+                co_await m_stream.async_read_some(m_buffer.prepare(readBytes), asTuple);
+            m_buffer.commit(bytes);
+            if (!failure)
+                co_return true;
+            const bool cancelled = failure == asio::error::operation_aborted;
+            if (!cancelled || !m_gateway.closingCallers)
+                co_return false;
+        }
+    }
+
+    /// Whether bytes of a further request have arrived.
+    [[nodiscard]] bool hasInput()
+    {
+        if (m_buffer.size() != 0)
+            return true;
+        char byte = 0;
+        const int handle = m_stream.socket().native_handle();
+        return ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
-    /// Answers a malformed request; other read failures get no response.
-    asio::awaitable<bool> rejectMalformed(beast::error_code failure)
+    /// Reads and discards what the caller sends until it closes the connection.
+    asio::awaitable<void> discardInput()
     {
+        m_stream.expires_after(lingerTimeout);
+        std::array<char, readBytes> bytes{};
+        while (true) {
+            const auto [failure, count] =
+                co_await m_stream.async_read_some(asio::buffer(bytes), asTuple);
+            if (failure)
+                co_return;
+        }
+    }
+
+    /// Answers a request that was not read whole: one that is malformed, or one that is cancelled
+    /// since the instance stops. Other read failures get no response.
+    asio::awaitable<bool> rejectUnread(beast::error_code failure)
+    {
+        if (failure == asio::error::operation_aborted && m_gateway.stopping) {
+            m_gateway.metrics.count("unread-request", toString(EndReason::Stopping));
+            co_return co_await reject(ownAnswer(m_gateway, http::status::service_unavailable,
+                                                EndReason::Stopping, stoppingRetryDelay));
+        }
         http::status status = http::status::bad_request;
         if (failure == http::error::header_limit)
             status = http::status::request_header_fields_too_large;
@@ -133,11 +178,17 @@
         if (!malformed)
             co_return false;
         m_gateway.metrics.count("bad-request", failure.message());
-        HttpResponse response(status, httpVersion11);
+        co_return co_await reject(HttpResponse(status, httpVersion11));
+    }
+
+    /// Sends a response to a request that was not read whole, and ends the connection.
+    asio::awaitable<bool> reject(HttpResponse response)
+    {
         response.keep_alive(false);
         response.prepare_payload();
         m_stream.expires_after(writeTimeout);
         co_await http::async_write(m_stream, response, asTuple);
+        m_linger = true;
         co_return false;
     }
 
@@ -175,6 +226,11 @@
         if (flow->route->timeout > Duration::zero())
             allowed = std::min(allowed, flow->route->timeout);
         flow->deadline = flow->arrived + allowed;
+        if (m_gateway.mayOutlastStop(flow->deadline)) {
+            co_return FlowResult{EndReason::Stopping,
+                                 ownAnswer(m_gateway, http::status::service_unavailable,
+                                           EndReason::Stopping, stoppingRetryDelay)};
+        }
         flow->urgency = {flow->route->priority, flow->arrived + flow->route->latencyTarget};
         flow->service = m_gateway.dealer.next(*flow->route);
         eraseConnectionFields(flow->request);
@@ -218,12 +274,13 @@
     {
         eraseConnectionFields(response);
         response.version(httpVersion11);
-        const bool keepOpen = keepAlive && !m_gateway.stopping;
+        // A further request that has arrived is answered too, since its caller sees it as read.
+        const bool keepOpen = keepAlive && (!m_gateway.stopping || hasInput());
+        m_linger = keepAlive && !keepOpen;
         response.keep_alive(keepOpen);
         response.prepare_payload();
         m_stream.expires_after(writeTimeout);
         const auto [failure, bytes] = co_await http::async_write(m_stream, response, asTuple);
-        m_served = true;
         co_return !failure && keepOpen;
     }
 
@@ -258,9 +315,10 @@
     static constexpr std::size_t readBytes = 4096;
 
     Gateway &m_gateway;
+    const std::shared_ptr<CallerConnections> m_connections;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    bool m_served = false;
+    bool m_linger = false; ///< Whether to wait for the caller to close the connection.
 };
 
 } // namespace
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -209,7 +209,7 @@
                         {{"lagMs", Milliseconds(report->lag).count()},
                          {"spentMs", std::move(spent)},
                          {"active", m_gateway.active},
-                         {"sessions", m_gateway.sessions}});
+                         {"sessions", m_gateway.callers->open()}});
 }
 
 /// The placement state of a service, or null if the lease was lost since it was created.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 /// \brief State of an instance, shared by the request path and the control tasks.
 #pragma once
 
+#include "gateway/caller_connections.hpp"
 #include "gateway/event_log.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/http_call.hpp"
@@ -103,12 +104,15 @@
     InstanceShare share; ///< Place of this instance among the known ones.
     Duration commonOffset{}; ///< Wall-clock time less the time of the clock.
     bool stopping = false;
+    bool closingCallers = false; ///< While stopping: no further callers are expected.
+    TimePoint stopAt = TimePoint::max(); ///< End of the process.
+    TimePoint rejectFrom = TimePoint::max(); ///< While stopping: what was not sent yet is rejected.
     bool targetsKnown = false;
     bool instancesKnown =
         false; ///< Until then, this instance's parts of shared limits are too large.
     bool shardMapsStale =
         false; ///< A target did not hold a key, or a change of a shard map was missed.
-    std::uint64_t sessions = 0;
+    const std::shared_ptr<CallerConnections> callers = std::make_shared<CallerConnections>();
     std::uint64_t active = 0; ///< Requests that were read and not yet answered.
 
     [[nodiscard]] TimePoint now() const noexcept { return clock.now(); }
@@ -119,6 +123,12 @@
     }
     /// \brief Whether callers can be served.
     [[nodiscard]] bool ready() const noexcept { return !stopping && informed(); }
+    /// \brief Whether a request may still be in progress at the end of the process.
+    /// \param deadline Of the request, which has just been read.
+    [[nodiscard]] bool mayOutlastStop(TimePoint deadline) const noexcept
+    {
+        return closingCallers && deadline > stopAt;
+    }
     /// \brief The local state of a target, created on first use.
     [[nodiscard]] std::shared_ptr<LiveTarget> liveTarget(const Target &target);
     /// \brief The local state of a service, created on first use.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -82,8 +82,17 @@
 
 void GatewayServer::stopAccepting()
 {
-    beast::error_code ignored;
-    m_callers.close(ignored);
+    // Closing the socket resets the connections in its queue.
+    beast::error_code failure;
+    m_callers.non_blocking(true, failure);
+    while (!failure) {
+        tcp::socket socket(m_gateway.loop);
+        m_callers.accept(socket, failure);
+        if (!failure)
+            asio::co_spawn(m_gateway.loop, serveCaller(m_gateway, std::move(socket)),
+                           asio::detached);
+    }
+    m_callers.close(failure);
 }
 
 asio::awaitable<void> GatewayServer::acceptCallers()
--- a/src/gateway/graceful_stop.cpp
+++ b/src/gateway/graceful_stop.cpp
@@ -1,5 +1,7 @@
 #include "gateway/graceful_stop.hpp"
 
+#include <algorithm>
+
 namespace yuccaspan::gateway {
 
 namespace {
@@ -10,18 +12,29 @@
 
 asio::awaitable<void> stopGracefully(Gateway &gateway, GatewayServer &server, StopTiming timing)
 {
-    const TimePoint end = gateway.now() + gateway.options.stopWithin - timing.reserve;
+    const TimePoint begun = gateway.now();
+    const Duration within = gateway.options.stopWithin - timing.reserve;
     gateway.stopping = true;
+    gateway.stopAt = begun + within;
+    gateway.rejectFrom = gateway.stopAt - timing.lastResponses;
     gateway.log.write("lifecycle", "stopping",
-                      {{"active", gateway.active}, {"sessions", gateway.sessions}});
-    asio::steady_timer timer(gateway.loop, timing.balancerWait);
+                      {{"active", gateway.active}, {"sessions", gateway.callers->open()}});
+    // With little time, half of it is left to finish requests.
+    asio::steady_timer timer(gateway.loop, std::min(timing.balancerWait, within / 2));
     co_await timer.async_wait(asTuple);
     server.stopAccepting();
-    while (gateway.active > 0 && gateway.now() < end) {
+    gateway.closingCallers = true;
+    gateway.callers->cancel(ReadPhase::Idle);
+    while (gateway.callers->open() > 0 && gateway.now() < gateway.stopAt) {
+        if (gateway.now() >= gateway.rejectFrom) {
+            gateway.callers->cancel(ReadPhase::Request);
+            gateway.wakeAll();
+        }
         timer.expires_after(pollInterval);
         co_await timer.async_wait(asTuple);
     }
-    gateway.log.write("lifecycle", "stopped", {{"active", gateway.active}});
+    gateway.log.write("lifecycle", "stopped",
+                      {{"active", gateway.active}, {"sessions", gateway.callers->open()}});
     gateway.loop.stop();
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -55,7 +55,7 @@
                               WaitingLane *lane, Duration longest)
 {
     const TimePoint from = gateway.now();
-    const Duration left = flow->deadline - from;
+    const Duration left = std::min(flow->deadline, gateway.rejectFrom) - from;
     TimedWaiter waiter(gateway.loop, flow->urgency);
     waiter.timer().expires_after(std::max(Duration(1), std::min(longest, left)));
     std::optional<WaitingLane::Place> place;
@@ -181,6 +181,8 @@
                 co_return FlowResult{EndReason::CallerGone, {}};
             if (m_gateway.now() >= m_flow->deadline)
                 co_return ended(m_mayHaveRun ? EndReason::TimedOut : m_lastWait, defaultRetryDelay);
+            if (m_gateway.now() >= m_gateway.rejectFrom)
+                co_return ended(EndReason::Stopping, stoppingRetryDelay);
             const TargetChoice choice = chooseTarget(m_gateway, *m_flow, m_tried);
             if (choice.kind == TargetChoice::Kind::Reject)
                 co_return ended(choice.reason, choice.retryDelay);
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -28,6 +28,7 @@
     Broken, ///< The response of the target was lost or is invalid.
     TimedOut, ///< The target did not respond in time.
     CallerGone, ///< The caller closed its connection.
+    Stopping, ///< This instance ends before the request can be answered.
 };
 
 /// \brief A request in progress.
@@ -64,6 +65,9 @@
 /// \brief Handles a request until it is answered or abandoned.
 [[nodiscard]] asio::awaitable<FlowResult> runFlow(Gateway &gateway, std::shared_ptr<Flow> flow);
 
+/// \brief Retry delay that is sent by an instance that stops: other instances are ready.
+constexpr Duration stoppingRetryDelay = std::chrono::milliseconds(50);
+
 /// \brief Creates a response of the gateway itself.
 /// \param retryDelay Time after which the caller may retry; zero to leave it out.
 [[nodiscard]] HttpResponse ownAnswer(const Gateway &gateway, http::status status, EndReason reason,
@@ -76,7 +80,7 @@
 struct yuccaspan::EnumNames<yuccaspan::gateway::EndReason>
 {
     using Reason = yuccaspan::gateway::EndReason;
-    static constexpr std::array<EnumName<Reason>, 15> table{{
+    static constexpr std::array<EnumName<Reason>, 16> table{{
         {Reason::Answered, "answered"},
         {Reason::NotReady, "not-ready"},
         {Reason::NoRoute, "no-route"},
@@ -92,5 +96,6 @@
         {Reason::Broken, "broken"},
         {Reason::TimedOut, "timed-out"},
         {Reason::CallerGone, "caller-gone"},
+        {Reason::Stopping, "stopping"},
     }};
 };
--- a/tests/gateway/test_late_requests.cpp
+++ b/tests/gateway/test_late_requests.cpp
@@ -105,9 +105,9 @@
     ASSERT_NE(m_server, nullptr);
     callerWithRequest()->close();
     m_server->start();
-    for (int step = 0; step < 400 && m_gateway.sessions == 0 && !m_atTarget; ++step)
+    for (int step = 0; step < 400 && m_gateway.callers->open() == 0 && !m_atTarget; ++step)
         m_loop.run_for(milliseconds(5));
-    for (int step = 0; step < 400 && m_gateway.sessions > 0; ++step)
+    for (int step = 0; step < 400 && m_gateway.callers->open() > 0; ++step)
         m_loop.run_for(milliseconds(5));
     m_loop.run_for(milliseconds(50));
     EXPECT_EQ(m_received, 0U);
@@ -159,7 +159,7 @@
     m_loop.poll_one();
     for (std::size_t ran = 0; ran < count; ++ran)
         m_loop.poll_one();
-    EXPECT_EQ(m_gateway.sessions, count);
+    EXPECT_EQ(m_gateway.callers->open(), count);
 }
 
 } // namespace
