--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -26,6 +26,8 @@
 /// How long a caller's bytes are discarded after this instance ended a connection. Closing it with
 /// unread bytes would reset it, and the caller could lose the last response.
 constexpr Duration lingerTimeout = std::chrono::milliseconds(500);
+/// Retry delay that is sent while the memory for bodies is used up.
+constexpr Duration noMemoryRetryDelay = std::chrono::milliseconds(300);
 
 /// Hop-by-hop header fields, which are not forwarded.
 constexpr std::array<http::field, 8> connectionFields{
@@ -79,7 +81,8 @@
     asio::awaitable<bool> serveOne()
     {
         Parser parser;
-        if (!co_await read(parser))
+        MessageMemory::Share memory = m_gateway.bodies->share(BodyOwner::Request);
+        if (!co_await read(parser, memory))
             co_return false;
         ++m_gateway.active;
         const bool keepOpen = co_await handleRequest(parser.release());
@@ -87,11 +90,13 @@
         co_return keepOpen;
     }
 
-    asio::awaitable<bool> read(Parser &parser)
+    asio::awaitable<bool> read(Parser &parser, MessageMemory::Share &memory)
     {
         const CallerLimits limits = m_gateway.desired ? m_gateway.desired->limits : CallerLimits{};
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
+        // Also limits lines in chunked bodies.
+        m_buffer.max_size(limits.headerBytes + readBytes);
         if (m_buffer.size() == 0 && !co_await waitForData(limits.idleTimeout))
             co_return false;
         const auto pending =
@@ -106,11 +111,30 @@
             co_await http::async_write(m_stream, proceed, asTuple);
         }
         m_stream.expires_after(limits.idleTimeout);
-        const auto [failure, bytes] =
-            co_await http::async_read(m_stream, m_buffer, parser, asTuple);
-        if (failure)
-            co_return co_await rejectUnread(failure);
-        co_return true;
+        co_return co_await readBody(parser, memory);
+    }
+
+    asio::awaitable<bool> readBody(Parser &parser, MessageMemory::Share &memory)
+    {
+        bool fits = true;
+        memory.setGiveUp([this, &fits] {
+            fits = false;
+            m_stream.cancel();
+        });
+        parser.eager(true);
+        beast::error_code failure;
+        while (!failure && fits && !parser.is_done()) {
+            const auto [readFailure, bytes] =
+                co_await http::async_read_some(m_stream, m_buffer, parser, asTuple);
+            failure = readFailure;
+            fits = fits && memory.resize(parser.get().body().size());
+        }
+        memory.setGiveUp({});
+        if (fits)
+            co_return failure ? co_await rejectUnread(failure) : true;
+        m_gateway.metrics.count("unread-request", toString(EndReason::NoMemory));
+        co_return co_await reject(ownAnswer(m_gateway, http::status::service_unavailable,
+                                            EndReason::NoMemory, noMemoryRetryDelay));
     }
 
     /// Waits for the next request; returns false if there is none and the instance stops.
@@ -203,7 +227,7 @@
         record(*flow, end);
         if (flow->callerGone)
             co_return false;
-        co_return co_await answer(std::move(end.response), keepAlive);
+        co_return co_await answer(std::move(end), keepAlive);
     }
 
     asio::awaitable<FlowResult> route(const std::shared_ptr<Flow> &flow)
@@ -212,7 +236,8 @@
             constexpr Duration startupRetryDelay = std::chrono::milliseconds(300);
             co_return FlowResult{EndReason::NotReady,
                                  ownAnswer(m_gateway, http::status::service_unavailable,
-                                           EndReason::NotReady, startupRetryDelay)};
+                                           EndReason::NotReady, startupRetryDelay),
+                                 {}};
         }
         flow->state = m_gateway.desired;
         const std::string_view target = flow->request.target();
@@ -220,7 +245,8 @@
         flow->route = m_gateway.routes.find(flow->request[http::field::host], path);
         if (flow->route == nullptr) {
             co_return FlowResult{EndReason::NoRoute,
-                                 ownAnswer(m_gateway, http::status::not_found, EndReason::NoRoute)};
+                                 ownAnswer(m_gateway, http::status::not_found, EndReason::NoRoute),
+                                 {}};
         }
         Duration allowed = flow->facts.deadline.value_or(defaultDeadline);
         if (flow->route->timeout > Duration::zero())
@@ -229,7 +255,8 @@
         if (m_gateway.mayOutlastStop(flow->deadline)) {
             co_return FlowResult{EndReason::Stopping,
                                  ownAnswer(m_gateway, http::status::service_unavailable,
-                                           EndReason::Stopping, stoppingRetryDelay)};
+                                           EndReason::Stopping, stoppingRetryDelay),
+                                 {}};
         }
         flow->urgency = {flow->route->priority, flow->arrived + flow->route->latencyTarget};
         flow->service = m_gateway.dealer.next(*flow->route);
@@ -270,8 +297,10 @@
             });
     }
 
-    asio::awaitable<bool> answer(HttpResponse response, bool keepAlive)
+    asio::awaitable<bool> answer(FlowResult end, bool keepAlive)
     {
+        HttpResponse &response = end.response;
+        end.memory.setGiveUp([this] { m_stream.close(); });
         eraseConnectionFields(response);
         response.version(httpVersion11);
         // A further request that has arrived is answered too, since its caller sees it as read.
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -16,6 +16,8 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Interval of lease checks.
 constexpr Duration leaseCheckInterval = std::chrono::milliseconds(200);
+/// Largest body of a target's response to an order, in bytes; what it says is in the head.
+constexpr std::uint64_t orderBodyLimit = 65536;
 constexpr const char *leaseName = "placer";
 
 OrderOutcome outcomeOf(const CallResult &result)
@@ -352,6 +354,7 @@
         CallOptions options;
         options.connectTimeout = order.sendBefore - sentAt;
         options.timeout = order.answerTimeout;
+        options.bodyLimit = orderBodyLimit;
         options.maySend = [this, sendBefore = order.sendBefore] {
             return placing() && m_gateway.now() < sendBefore;
         };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,7 +39,8 @@
       protocol(protocolIn),
       store(storeIn),
       codec(codecIn),
-      options(std::move(optionsIn))
+      options(std::move(optionsIn)),
+      bodies(MessageMemory::create(options.bodyMemory))
 { }
 
 std::shared_ptr<LiveTarget> Gateway::liveTarget(const Target &target)
@@ -52,10 +53,10 @@
             known->lane.wakeAll();
         known = std::make_shared<LiveTarget>();
         known->entry = target.entry;
-        known->requests =
-            ClientPool::create(loop, target.entry.address, {.idleLimit = requestIdleTimeout});
-        known->orders =
-            ClientPool::create(loop, target.entry.address, {.idleLimit = orderIdleTimeout});
+        known->requests = ClientPool::create(loop, target.entry.address,
+                                             {.idleLimit = requestIdleTimeout, .memory = bodies});
+        known->orders = ClientPool::create(loop, target.entry.address,
+                                           {.idleLimit = orderIdleTimeout, .memory = bodies});
         known->signals.leaving = target.saidLeavingSince.has_value();
         if (known->signals.leaving)
             known->gate.setLeaving();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "gateway/key_load.hpp"
 #include "gateway/load_message.hpp"
 #include "gateway/loop_watch.hpp"
+#include "gateway/message_memory.hpp"
 #include "gateway/platform.hpp"
 #include "gateway/repeat_budget.hpp"
 #include "gateway/shard_map.hpp"
@@ -42,6 +43,7 @@
         std::chrono::seconds(5); ///< Time until an evacuated zone gets no more requests.
     Duration stopWithin = std::chrono::seconds(6); ///< From SIGTERM to the end of the process.
     Duration maxHold = std::chrono::seconds(10); ///< Longest grant that targets accept.
+    std::size_t bodyMemory = defaultBodyMemory(); ///< For all buffered bodies together, in bytes.
 };
 
 /// \brief A target with its connections and the local state about it.
@@ -87,6 +89,7 @@
     PlatformCodec &codec;
     const GatewayOptions options;
     GatewayMetrics metrics;
+    const std::shared_ptr<MessageMemory> bodies; ///< Memory of the buffered bodies.
 
     TargetDirectory directory;
     std::shared_ptr<const DesiredState> desired;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -137,7 +137,7 @@
 asio::awaitable<void> GatewayServer::serveInternal(tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(ClientConnection::maxUnparsed);
     while (true) {
         HttpRequest request;
         stream.expires_after(internalIdleTimeout);
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -49,6 +49,23 @@
     ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
 }
 
+/// Reads a response, and gives it up if the memory does not allow for it.
+asio::awaitable<beast::error_code> readResponse(std::shared_ptr<ClientConnection> connection,
+                                                http::response_parser<http::string_body> &parser,
+                                                MessageMemory::Share &memory)
+{
+    parser.eager(true);
+    while (!parser.is_done()) {
+        const auto [failure, count] =
+            co_await http::async_read_some(connection->stream, connection->buffer, parser, asTuple);
+        if (failure)
+            co_return failure;
+        if (!memory.resize(parser.get().body().size()))
+            co_return http::error::body_limit;
+    }
+    co_return beast::error_code();
+}
+
 /// A request being written; kept alive if its response arrives before the write completes.
 struct Sending
 {
@@ -108,11 +125,11 @@
                                                PoolOptions options)
 {
     const auto endpoint = parseEndpoint(address).value_or(tcp::endpoint());
-    return std::shared_ptr<ClientPool>(new ClientPool(loop, endpoint, options));
+    return std::shared_ptr<ClientPool>(new ClientPool(loop, endpoint, std::move(options)));
 }
 
 ClientPool::ClientPool(asio::io_context &loop, tcp::endpoint endpoint, PoolOptions options)
-    : m_loop(loop), m_endpoint(std::move(endpoint)), m_options(options)
+    : m_loop(loop), m_endpoint(std::move(endpoint)), m_options(std::move(options))
 { }
 
 std::shared_ptr<ClientConnection> ClientPool::takeIdle()
@@ -203,12 +220,15 @@
                           if (failure && bytes == 0)
                               connection->close();
                       });
+    if (m_options.memory) {
+        result.memory = m_options.memory->share(BodyOwner::Response);
+        result.memory.setGiveUp([connection] { connection->close(); });
+    }
     result.end = CallEnd::Broken;
     for (int unrelated = 0; unrelated <= maxUnrelatedResponses; ++unrelated) {
         http::response_parser<http::string_body> parser;
         parser.body_limit(options.bodyLimit);
-        const auto [failure, count] =
-            co_await http::async_read(connection->stream, connection->buffer, parser, asTuple);
+        const beast::error_code failure = co_await readResponse(connection, parser, result.memory);
         if (failure) {
             if (cancelled)
                 result.end = CallEnd::Cancelled;
@@ -226,6 +246,7 @@
         result.end = CallEnd::Answered;
         break;
     }
+    result.memory.setGiveUp({});
     if (options.onCancel)
         options.onCancel({});
     if (result.end == CallEnd::Answered && sending->done && !sending->failed)
--- a/src/gateway/http_call.hpp
+++ b/src/gateway/http_call.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/http_types.hpp"
+#include "gateway/message_memory.hpp"
 #include "yuccaspan/clock.hpp"
 
 #include <functional>
@@ -30,12 +31,17 @@
     bool reused = false; ///< Sent on a pooled connection.
     bool refused = false; ///< The connection was refused.
     HttpResponse response;
+    MessageMemory::Share memory; ///< Of the response.
 };
 
 /// \brief A connection to a server, with data read beyond the last response.
 struct ClientConnection
 {
-    explicit ClientConnection(asio::io_context &loop) : stream(loop) { }
+    /// Limit on bytes that were read and not yet parsed: the largest head, and the largest line in
+    /// a chunked body.
+    static constexpr std::size_t maxUnparsed = 65536;
+
+    explicit ClientConnection(asio::io_context &loop) : stream(loop), buffer(maxUnparsed) { }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -75,6 +81,7 @@
     /// Unanswered TCP keep-alive probes after which a connection is closed; the first is sent after
     /// an idle second, the others at intervals of a second.
     int lostProbes = 2;
+    std::shared_ptr<MessageMemory> memory; ///< For the bodies of responses; null: not limited.
 };
 
 /// \brief Connection pool for one server.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -178,7 +178,7 @@
         recordKeyLoad();
         while (true) {
             if (m_flow->callerGone)
-                co_return FlowResult{EndReason::CallerGone, {}};
+                co_return FlowResult{EndReason::CallerGone, {}, {}};
             if (m_gateway.now() >= m_flow->deadline)
                 co_return ended(m_mayHaveRun ? EndReason::TimedOut : m_lastWait, defaultRetryDelay);
             if (m_gateway.now() >= m_gateway.rejectFrom)
@@ -195,7 +195,7 @@
                 co_return ended(m_lastFailure, defaultRetryDelay);
             const bool resend =
                 !m_sentTo.insert(choice.target->entry.address).second && m_flow->sends > 0;
-            const Attempt attempt =
+            Attempt attempt =
                 co_await sendTo(m_gateway, m_flow, choice.target, choice.sendBefore, resend);
             recordAttempt(m_gateway, *m_flow, choice.target, attempt);
             if (std::optional<FlowResult> end = evaluate(attempt))
@@ -233,7 +233,7 @@
 
     /// Evaluates an attempt.
     /// \returns The result of the request, or nothing if it may be retried.
-    std::optional<FlowResult> evaluate(const Attempt &attempt)
+    std::optional<FlowResult> evaluate(Attempt &attempt)
     {
         switch (attempt.call.end) {
         case CallEnd::NotSent:
@@ -246,7 +246,7 @@
             // The next choice of a target finds out why sending was no longer allowed.
             return std::nullopt;
         case CallEnd::Cancelled:
-            return FlowResult{EndReason::CallerGone, {}};
+            return FlowResult{EndReason::CallerGone, {}, {}};
         case CallEnd::Broken:
         case CallEnd::TimedOut:
             ++m_flow->sends;
@@ -264,7 +264,7 @@
         return std::nullopt;
     }
 
-    std::optional<FlowResult> evaluateResponse(const Attempt &attempt)
+    std::optional<FlowResult> evaluateResponse(Attempt &attempt)
     {
         if (attempt.facts.misdirected || attempt.facts.notExecuted) {
             m_tried.push_back(m_flow->target);
@@ -285,26 +285,29 @@
         if (isServerError(attempt) && m_flow->route->idempotent && !m_serverError
             && m_flow->sends < m_flow->route->maxAttempts) {
             m_tried.push_back(m_flow->target);
-            m_serverError = attempt.call.response;
+            m_serverError = std::move(attempt.call.response);
+            m_errorMemory = std::move(attempt.call.memory);
             m_mayHaveRun = true;
             return std::nullopt;
         }
-        return FlowResult{EndReason::Answered, attempt.call.response};
+        return FlowResult{EndReason::Answered, std::move(attempt.call.response),
+                          std::move(attempt.call.memory)};
     }
 
     /// The server error that a target returned earlier, or else a response of the gateway itself.
     FlowResult ended(EndReason reason, Duration retryDelay)
     {
         if (m_serverError)
-            return {EndReason::Answered, std::move(*m_serverError)};
+            return {EndReason::Answered, std::move(*m_serverError), std::move(m_errorMemory)};
         if (!m_mayHaveRun) {
             return {reason,
                     ownAnswer(m_gateway, http::status::service_unavailable, reason,
-                              std::max(retryDelay, minRetryDelay))};
+                              std::max(retryDelay, minRetryDelay)),
+                    {}};
         }
         const bool late = reason == EndReason::TimedOut;
         const auto status = late ? http::status::gateway_timeout : http::status::bad_gateway;
-        return {reason, ownAnswer(m_gateway, status, reason)};
+        return {reason, ownAnswer(m_gateway, status, reason), {}};
     }
 
     static constexpr Duration minRetryDelay = std::chrono::milliseconds(50);
@@ -315,6 +318,7 @@
     std::set<std::string> m_sentTo; ///< Addresses that the request was sent to.
     std::shared_ptr<LiveTarget> m_waitsAt; ///< Keeps the lane alive in which the request waits.
     std::optional<HttpResponse> m_serverError;
+    MessageMemory::Share m_errorMemory; ///< Of that response.
     EndReason m_lastWait = EndReason::Overloaded;
     EndReason m_lastFailure = EndReason::TargetLost;
     Duration m_attemptDelay{};
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -28,6 +28,7 @@
     Broken, ///< The response of the target was lost or is invalid.
     TimedOut, ///< The target did not respond in time.
     CallerGone, ///< The caller closed its connection.
+    NoMemory, ///< The memory for bodies is used up.
     Stopping, ///< This instance ends before the request can be answered.
 };
 
@@ -60,6 +61,7 @@
 {
     EndReason reason = EndReason::NotReady;
     HttpResponse response;
+    MessageMemory::Share memory; ///< Of the response.
 };
 
 /// \brief Handles a request until it is answered or abandoned.
@@ -80,7 +82,7 @@
 struct yuccaspan::EnumNames<yuccaspan::gateway::EndReason>
 {
     using Reason = yuccaspan::gateway::EndReason;
-    static constexpr std::array<EnumName<Reason>, 16> table{{
+    static constexpr std::array<EnumName<Reason>, 17> table{{
         {Reason::Answered, "answered"},
         {Reason::NotReady, "not-ready"},
         {Reason::NoRoute, "no-route"},
@@ -96,6 +98,7 @@
         {Reason::Broken, "broken"},
         {Reason::TimedOut, "timed-out"},
         {Reason::CallerGone, "caller-gone"},
+        {Reason::NoMemory, "no-memory"},
         {Reason::Stopping, "stopping"},
     }};
 };
--- a/tests/gateway/test_http_call.cpp
+++ b/tests/gateway/test_http_call.cpp
@@ -7,8 +7,11 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace yuccaspan::gateway {
 
@@ -172,13 +175,14 @@
     EXPECT_EQ(received, 0U);
 }
 
-/// Sends the head of a response and then repeats the same bytes until the caller closes.
+/// Sends the head of a response and then repeats the same bytes until the caller closes, or up to
+/// 64 MB.
 Peer::Script endlessBytes(std::string head, std::size_t &sent)
 {
     return [head = std::move(head), &sent](tcp::socket &socket) -> asio::awaitable<void> {
         co_await asio::async_write(socket, asio::buffer(head), asTuple);
         const std::string more(4096, 'x');
-        while (true) {
+        while (sent < std::size_t{64} << 20) {
             const auto [failure, count] =
                 co_await asio::async_write(socket, asio::buffer(more), asTuple);
             if (failure)
@@ -192,7 +196,10 @@
 TEST(HttpCall, limitsTheSizeOfEndlessHeadersAndBodies)
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
-    for (const std::string &head : {ok + "X: ", ok + "\r\n", std::string("garbage")}) {
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &head :
+         {ok + "X: ", ok + "\r\n", std::string("garbage"), std::string("HTTP/1.1 200 "), chunked,
+          chunked + "1;", chunked + "1;a=", chunked + "0\r\nX: "}) {
         asio::io_context loop;
         std::size_t sent = 0;
         Peer peer(loop, endlessBytes(head, sent));
@@ -205,6 +212,61 @@
     }
 }
 
+/// Guards against endless bodies that each stay below the limit of one response, but together use
+/// up the memory of the process (review/4).
+TEST(HttpCall, endlessBodiesTogetherDoNotDisplaceASoundOne)
+{
+    asio::io_context loop;
+    constexpr std::size_t limit = 4'000'000;
+    const auto memory = MessageMemory::create(limit);
+    std::size_t sent = 0;
+    std::size_t most = 0;
+    std::vector<CallResult> results(4);
+    std::vector<std::unique_ptr<Peer>> peers;
+    const std::string soundBody(limit / 8, 's');
+    for (std::size_t index = 0; index < results.size(); ++index) {
+        Peer::Script script =
+            endlessBytes("HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", sent);
+        if (index == 0) {
+            script = [&soundBody](tcp::socket &socket) -> asio::awaitable<void> {
+                co_await readHead(socket);
+                co_await send(socket,
+                              "HTTP/1.1 200 OK\r\nContent-Length: "
+                                  + std::to_string(soundBody.size()) + "\r\n\r\n");
+                for (std::size_t at = 0; at < soundBody.size(); at += soundBody.size() / 10) {
+                    co_await send(socket, soundBody.substr(at, soundBody.size() / 10));
+                    asio::steady_timer timer(socket.get_executor(), milliseconds(20));
+                    co_await timer.async_wait(asTuple);
+                }
+            };
+        }
+        peers.push_back(std::make_unique<Peer>(loop, script));
+        asio::co_spawn(
+            loop,
+            [&, index]() -> asio::awaitable<void> {
+                const auto pool =
+                    ClientPool::create(loop, peers[index]->address(),
+                                       {.idleLimit = std::chrono::seconds(1), .memory = memory});
+                CallOptions options;
+                options.timeout = std::chrono::seconds(30);
+                options.onResponse = [&](const HttpResponse &) {
+                    most = std::max(most, memory->used());
+                };
+                results[index] = co_await pool->call(request(), std::move(options));
+            },
+            asio::detached);
+    }
+    loop.run();
+    EXPECT_EQ(results[0].end, CallEnd::Answered);
+    EXPECT_EQ(results[0].response.body(), soundBody);
+    for (std::size_t index = 1; index < results.size(); ++index)
+        EXPECT_EQ(results[index].end, CallEnd::Broken);
+    EXPECT_LE(most, limit);
+    EXPECT_EQ(memory->givenUp(), 3U);
+    results.clear();
+    EXPECT_EQ(memory->used(), 0U);
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
--- a/tests/platform/test_answers_of_targets.cpp
+++ b/tests/platform/test_answers_of_targets.cpp
@@ -133,7 +133,7 @@
             },
             asio::detached);
         m_loop.run_for(std::chrono::seconds(10));
-        return result.value_or(FlowResult{});
+        return std::move(result).value_or(FlowResult{});
     }
 
     asio::io_context m_loop;
--- a/tests/platform/test_graceful_stop.cpp
+++ b/tests/platform/test_graceful_stop.cpp
@@ -1,140 +1,12 @@
-#include "../gateway/control_doubles.hpp"
-#include "gateway/boottime_clock.hpp"
 #include "gateway/graceful_stop.hpp"
-#include "target_protocol.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
-#include <gtest/gtest.h>
-
-#include <algorithm>
-#include <functional>
-#include <memory>
-#include <string>
-#include <thread>
-#include <vector>
+#include "serving_instance.hpp"
 
 namespace yuccaspan::platform {
 
 namespace {
 
-using namespace gateway; // NOLINT(google-build-using-namespace): as in the tests beside it
 using std::chrono::milliseconds;
 
-/// A target that answers each request after the time that the path names: "/30" takes 30 ms.
-class TimedTarget
-{
-public:
-    explicit TimedTarget(asio::io_context &loop)
-        : m_loop(loop), m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-    {
-        asio::co_spawn(loop, accept(), asio::detached);
-    }
-    [[nodiscard]] std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
-    /// Whether a request with that id arrived.
-    [[nodiscard]] bool got(const std::string &id) const
-    {
-        return std::ranges::find(m_ids, id) != m_ids.end();
-    }
-
-private:
-    asio::awaitable<void> accept()
-    {
-        while (true) {
-            auto [failure, socket] = co_await m_acceptor.async_accept(asTuple);
-            if (failure)
-                co_return;
-            asio::co_spawn(m_loop, serve(std::move(socket)), asio::detached);
-        }
-    }
-    asio::awaitable<void> serve(tcp::socket socket)
-    {
-        beast::flat_buffer buffer;
-        while (true) {
-            HttpRequest request;
-            const auto [failure, count] =
-                co_await http::async_read(socket, buffer, request, asTuple);
-            if (failure)
-                co_return;
-            const std::string id(request["X-Request-Id"]);
-            m_ids.push_back(id);
-            asio::steady_timer timer(m_loop, milliseconds(std::stoi(request.target().substr(1))));
-            co_await timer.async_wait(asTuple);
-            const std::string answer = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Request-Id: "
-                + id + "\r\nContent-Length: 4\r\n\r\ndone";
-            co_await asio::async_write(socket, asio::buffer(answer), asTuple);
-        }
-    }
-
-    asio::io_context &m_loop;
-    tcp::acceptor m_acceptor;
-    std::vector<std::string> m_ids;
-};
-
-/// A caller's connection, which is read all the time.
-class Caller
-{
-public:
-    Caller(asio::io_context &loop, const std::string &address) : m_socket(loop)
-    {
-        m_socket.connect(*parseEndpoint(address));
-        asio::co_spawn(loop, read(), asio::detached);
-    }
-    void send(const std::string &text) { asio::write(m_socket, asio::buffer(text)); }
-    /// Received bytes.
-    [[nodiscard]] const std::string &received() const { return m_received; }
-    /// How often a text was received.
-    [[nodiscard]] std::size_t count(const std::string &text) const
-    {
-        std::size_t found = 0;
-        for (std::size_t at = 0; (at = m_received.find(text, at)) != std::string::npos; ++at)
-            ++found;
-        return found;
-    }
-    [[nodiscard]] bool ended() const { return m_ended; }
-    [[nodiscard]] bool reset() const { return m_reset; }
-
-private:
-    asio::awaitable<void> read()
-    {
-        std::string bytes(4096, '\0');
-        while (true) {
-            const auto [failure, count] =
-                co_await m_socket.async_read_some(asio::buffer(bytes), asTuple);
-            if (failure) {
-                m_ended = true;
-                m_reset = failure == asio::error::connection_reset;
-                m_socket.close();
-                co_return;
-            }
-            m_received.append(bytes, 0, count);
-        }
-    }
-
-    tcp::socket m_socket;
-    std::string m_received;
-    bool m_ended = false;
-    bool m_reset = false;
-};
-
-std::string requestHead(const std::string &id, int workMs, int deadlineMs,
-                        const std::string &further)
-{
-    return "POST /" + std::to_string(workMs) + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
-        + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n" + further + "\r\n";
-}
-
-/// A request without a body.
-std::string request(const std::string &id, int workMs, int deadlineMs)
-{
-    return requestHead(id, workMs, deadlineMs, "Content-Length: 0\r\n");
-}
-
 /// The first part of a request with a body in chunks.
 std::string chunkedStart(const std::string &id, int workMs, int deadlineMs)
 {
@@ -142,101 +14,22 @@
 }
 
 constexpr const char *chunkedRest = "dy\r\n0\r\n\r\n";
-constexpr const char *success = "HTTP/1.1 200 OK\r\n";
-constexpr const char *rejected = "HTTP/1.1 503 Service Unavailable\r\n";
-
-/// An instance that is stopped, on a loop of its own, which ends as its process would. The load
-/// balancer sends callers for a tenth of the stop.
-class GracefulStop : public ::testing::Test
+/// The load balancer sends callers for a tenth of the stop.
+class GracefulStop : public ServingInstance
 {
 protected:
     static constexpr milliseconds stopWithin{3000};
 
     GracefulStop()
-        : m_target(m_world),
-          m_loop(std::make_unique<asio::io_context>(1)),
-          m_log(std::make_unique<SilentLog>(), m_clock, "a"),
-          m_gateway(std::make_unique<Gateway>(*m_loop, m_clock, m_log, m_protocol, m_store, m_codec,
-                                              options()))
-    {
-        auto server = GatewayServer::create(*m_gateway, [](const std::string &) { return ""; });
-        if (server)
-            m_server = std::move(*server);
-        auto state = std::make_shared<DesiredState>();
-        state->version = 1;
-        Service service;
-        service.name = "s";
-        state->services.emplace("s", service);
-        Route route;
-        route.name = "r";
-        route.host = "h";
-        route.prefix = "/";
-        route.services.push_back({"s", 1});
-        state->routes.push_back(route);
-        m_gateway->apply(state);
-        TargetEntry entry;
-        entry.id = "t";
-        entry.incarnation = 1;
-        entry.service = "s";
-        entry.slots = 2;
-        entry.address = m_target.address();
-        m_gateway->directory.put(entry, m_clock.now(), m_clock.now());
-        m_gateway->targetsKnown = true;
-        m_gateway->setInstances({"a"});
-    }
-    ~GracefulStop() override { endProcess(); }
+        : ServingInstance([](GatewayOptions &options) { options.stopWithin = stopWithin; })
+    { }
 
-    void SetUp() override
-    {
-        ASSERT_NE(m_server, nullptr);
-        m_server->start();
-    }
-
-    GatewayOptions options()
-    {
-        GatewayOptions out;
-        out.name = "a";
-        out.stopWithin = stopWithin;
-        for (std::string *address : {&out.callerAddress, &out.readinessAddress}) {
-            const tcp::acceptor free(m_world, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-            *address = "127.0.0.1:" + std::to_string(free.local_endpoint().port());
-        }
-        return out;
-    }
-    static StopTiming stopTiming()
+    void stop()
     {
         StopTiming timing;
         timing.balancerWait = stopWithin / 10;
         timing.reserve = milliseconds(0);
-        return timing;
-    }
-
-    std::unique_ptr<Caller> connect()
-    {
-        return std::make_unique<Caller>(m_world, m_gateway->options.callerAddress);
-    }
-    void stop()
-    {
-        asio::co_spawn(*m_loop, stopGracefully(*m_gateway, *m_server, stopTiming()),
-                       asio::detached);
-    }
-    [[nodiscard]] bool processEnded() const { return m_loop == nullptr; }
-
-    /// Runs both loops until the condition holds, for at most 10 s.
-    bool runUntil(const std::function<bool()> &condition)
-    {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-        while (!condition() && std::chrono::steady_clock::now() < end) {
-            m_world.restart();
-            m_world.poll();
-            if (m_loop) {
-                m_loop->poll();
-                if (m_loop->stopped())
-                    endProcess();
-            }
-            std::this_thread::sleep_for(milliseconds(1));
-        }
-        return condition();
+        asio::co_spawn(*m_loop, stopGracefully(*m_gateway, *m_server, timing), asio::detached);
     }
     /// Runs until the process has ended and what it sent has arrived.
     bool runToEnd(const Caller &caller)
@@ -252,25 +45,6 @@
             return bool(failure);
         });
     }
-
-    void endProcess()
-    {
-        m_server.reset();
-        m_gateway.reset();
-        m_loop.reset();
-    }
-
-    asio::io_context m_world;
-    TimedTarget m_target;
-    std::unique_ptr<asio::io_context> m_loop;
-    const BoottimeClock m_clock;
-    EventLog m_log;
-    HttpTargetProtocol m_protocol;
-    NoStore m_store;
-    NoCodec m_codec;
-    std::unique_ptr<Gateway> m_gateway;
-    std::unique_ptr<GatewayServer> m_server;
-    const std::string m_address = m_gateway->options.callerAddress;
 };
 
 /// Guards against requests on kept connections that are passed on late in a stop and cut at its end
