--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -313,20 +313,50 @@
     applyTargets(entries);
 }
 
+/// Whether the desired state has the entry's service. Other writers may add entries of services
+/// that do not exist; those say nothing about any target, not even that one at their address has
+/// ended.
+bool Control::isNamed(const TargetEntry &entry) const noexcept
+{
+    return m_gateway.desired && m_gateway.desired->findService(entry.service) != nullptr;
+}
+
 void Control::applyTargets(const std::vector<TargetEntry> &entries)
 {
-    m_gateway.directory.replaceAll(entries, m_gateway.now(), m_changedSince);
+    std::vector<TargetEntry> named;
+    m_unnamedTargets.clear();
+    for (const TargetEntry &entry : entries) {
+        if (isNamed(entry))
+            named.push_back(entry);
+        else
+            m_unnamedTargets[entry.id] = {entry, m_changedSince};
+    }
+    m_gateway.directory.replaceAll(named, m_gateway.now(), m_changedSince);
     m_gateway.targetsKnown = true;
     applyEvacuations();
-    m_gateway.log.write(
-        "membership", "listed",
-        {{"targets", entries.size()}, {"revision", m_revisions[ObjectKind::Targets]}});
+    m_gateway.log.write("membership", "listed",
+                        {{"targets", entries.size()},
+                         {"unnamed", m_unnamedTargets.size()},
+                         {"revision", m_revisions[ObjectKind::Targets]}});
+}
+
+/// Adds the targets whose service is in the desired state by now.
+void Control::adoptNamedTargets()
+{
+    std::erase_if(m_unnamedTargets, [this](const auto &item) {
+        const auto &[id, target] = item;
+        if (!isNamed(target.entry))
+            return false;
+        m_gateway.directory.put(target.entry, m_gateway.now(), target.since);
+        return true;
+    });
 }
 
 void Control::onTargetChanged(const StoredObject &object)
 {
     const DutyTimer timer(m_gateway, Duty::FollowTargets);
     const TimePoint now = m_gateway.now();
+    m_unnamedTargets.erase(object.name);
     if (object.deleted) {
         m_gateway.directory.remove(object.name, now, m_changedSince);
         m_gateway.log.write("membership", "target-gone",
@@ -338,6 +368,20 @@
     if (!entry) {
         m_gateway.log.write("membership", "bad-entry",
                             {{"target", object.name}, {"error", entry.error().text}});
+        m_gateway.directory.remove(object.name, now, m_changedSince);
+        m_gateway.wakeAll();
+        return;
+    }
+    if (!isNamed(*entry)) {
+        m_gateway.log.write("membership", "target-unnamed",
+                            {{"target", entry->id},
+                             {"service", entry->service},
+                             {"address", entry->address},
+                             {"incarnation", entry->incarnation},
+                             {"revision", object.revision}});
+        m_unnamedTargets[entry->id] = {*entry, m_changedSince};
+        m_gateway.directory.remove(object.name, now, m_changedSince);
+        m_gateway.wakeAll();
         return;
     }
     if (!m_gateway.directory.put(*entry, now, m_changedSince))
@@ -378,6 +422,7 @@
                          {"revision", object.revision}});
     m_settings = object;
     m_gateway.apply(std::make_shared<DesiredState>(std::move(*state)));
+    adoptNamedTargets();
 }
 
 void Control::onEvacuationsListed(const Objects &objects)
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -49,6 +49,13 @@
         Duration batchDelay; ///< Delay between watches that batches changes; each watch is a call.
     };
 
+    /// An entry of a target whose service is not in the desired state.
+    struct UnnamedTarget
+    {
+        TargetEntry entry;
+        TimePoint since; ///< Earliest time at which the store can have accepted it.
+    };
+
     /// Placement state of one service during one tenure of the lease.
     struct Placing
     {
@@ -82,6 +89,8 @@
     void onSettingsListed(const Objects &objects);
     void onSettingsChanged(const StoredObject &object);
     void applyTargets(const std::vector<TargetEntry> &entries);
+    [[nodiscard]] bool isNamed(const TargetEntry &entry) const noexcept;
+    void adoptNamedTargets();
     void setEvacuated(std::set<std::string, std::less<>> zones);
     void applyEvacuations();
     void relist(ObjectKind kind);
@@ -116,6 +125,7 @@
     std::map<ObjectKind, bool> m_watchRestarted; ///< Whether we cancelled the last one.
     std::map<std::string, Placing, std::less<>> m_placing;
     std::uint64_t m_lastPlacing = 0; ///< Id of the last Placing.
+    std::map<std::string, UnnamedTarget, std::less<>> m_unnamedTargets; ///< By id.
     std::set<std::string, std::less<>> m_evacuated;
     std::map<std::string, std::uint64_t> m_returning; ///< Zones taken back, by store revision.
     std::set<ObjectKind> m_relist; ///< Kinds to list before they are watched again.
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -104,8 +104,10 @@
     if (known == m_gateway.shardMaps.end() || known->second.revision >= delta.revision)
         return;
     // The directory may not have read the new owners from the store yet, but they are needed now.
-    for (const TargetEntry &entry : delta.targets)
-        m_gateway.directory.putIfNew(entry, m_gateway.now());
+    for (const TargetEntry &entry : delta.targets) {
+        if (m_gateway.desired && m_gateway.desired->findService(entry.service) != nullptr)
+            m_gateway.directory.putIfNew(entry, m_gateway.now());
+    }
     std::optional<ShardMap> map = applyDelta(known->second.map, delta);
     m_gateway.metrics.count("map-change", map ? "taken" : "missed-one-before");
     if (map)
