--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -154,7 +154,8 @@
 /// the lease.
 void Control::checkWatchWasReceived()
 {
-    if (std::exchange(m_watchCheckQueued, true))
+    // Watches restart anyway with the next answer.
+    if (m_storeUnavailable || std::exchange(m_watchCheckQueued, true))
         return;
     asio::post(m_gateway.loop, [this] {
         m_watchCheckQueued = false;
