--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -366,6 +366,16 @@
         options.onResponse = [this, live](const HttpResponse &response) {
             m_gateway.learn(*live, m_gateway.protocol.readAnswer(response), AnswerSource::Order);
         };
+        if (order.kind == OrderKind::Release) {
+            // Answers to orders carry no id. A second copy of an earlier one on a kept connection
+            // would pass for the answer to the release, and the keys would move while the target is
+            // at work on them.
+            options.freshConnection = true;
+            options.belongs = [this](const HttpResponse &response) {
+                return response.result() != http::status::ok
+                    || !m_gateway.protocol.handover(response).empty();
+            };
+        }
         const CallResult result =
             co_await live->orders->call(m_gateway.protocol.order(order), std::move(options));
         outcome = outcomeOf(result);
--- a/tests/platform/test_answers_of_targets.cpp
+++ b/tests/platform/test_answers_of_targets.cpp
@@ -1,6 +1,7 @@
 #include "../gateway/control_doubles.hpp"
 #include "gateway/boottime_clock.hpp"
 #include "gateway/request_flow.hpp"
+#include "scripted_target.hpp"
 #include "target_protocol.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,65 +23,6 @@
 using namespace gateway; // NOLINT(google-build-using-namespace): as in the tests beside it
 using std::chrono::milliseconds;
 
-/// A target that answers each request by a script.
-class ScriptedTarget
-{
-public:
-    /// Answers one request; the numbers are those of the connection and of the request on it, from
-    /// 0.
-    using Script = std::function<asio::awaitable<void>(tcp::socket &, int, int)>;
-
-    ScriptedTarget(asio::io_context &loop, Script script)
-        : m_loop(loop),
-          m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-          m_script(std::move(script))
-    {
-        asio::co_spawn(loop, accept(), asio::detached);
-    }
-    [[nodiscard]] std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
-
-private:
-    asio::awaitable<void> accept()
-    {
-        for (int connection = 0;; ++connection) {
-            auto [failure, socket] = co_await m_acceptor.async_accept(asTuple);
-            if (failure)
-                co_return;
-            asio::co_spawn(m_loop, serve(std::move(socket), connection), asio::detached);
-        }
-    }
-    asio::awaitable<void> serve(tcp::socket socket, int connection)
-    {
-        beast::flat_buffer buffer;
-        for (int index = 0; socket.is_open(); ++index) {
-            HttpRequest request;
-            const auto [failure, count] =
-                co_await http::async_read(socket, buffer, request, asTuple);
-            if (failure)
-                co_return;
-            co_await m_script(socket, connection, index);
-        }
-    }
-
-    asio::io_context &m_loop;
-    tcp::acceptor m_acceptor;
-    Script m_script;
-};
-
-asio::awaitable<void> send(tcp::socket &socket, const std::string &text)
-{
-    co_await asio::async_write(socket, asio::buffer(text), asTuple);
-}
-
-asio::awaitable<void> pause(tcp::socket &socket, Duration span)
-{
-    asio::steady_timer timer(socket.get_executor(), span);
-    co_await timer.async_wait(asTuple);
-}
-
 constexpr const char *refusal =
     "HTTP/1.1 503 Full\r\nX-Request-Id: q\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr const char *answer =
--- /dev/null
+++ b/tests/platform/test_extra_order_answers.cpp
@@ -0,0 +1,236 @@
+#include "../gateway/control_doubles.hpp"
+#include "gateway/boottime_clock.hpp"
+#include "gateway/control.hpp"
+#include "scripted_target.hpp"
+#include "target_protocol.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace yuccaspan::platform {
+
+namespace {
+
+using namespace gateway; // NOLINT(google-build-using-namespace): as in the tests beside it
+using std::chrono::milliseconds;
+
+/// One keyed service, whose targets the test adds to the directory.
+class KeyedServiceCodec final : public PlatformCodec
+{
+public:
+    [[nodiscard]] Result<TargetEntry> target(const StoredObject & /*object*/) const override
+    {
+        return Error{ErrorCode::NotFound, "none", {}};
+    }
+    [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
+    {
+        DesiredState state;
+        state.version = object.revision;
+        Service service;
+        service.name = "s";
+        service.keyed = true;
+        state.services.emplace("s", service);
+        return state;
+    }
+};
+
+/// A store that stores what it is given, and whose watches see nothing.
+class QuietStore final : public MetadataStore
+{
+public:
+    explicit QuietStore(asio::io_context &loop) : m_loop(loop) { }
+
+    asio::awaitable<Result<StoredObjects>> list(ObjectKind kind) override
+    {
+        StoredObjects objects;
+        objects.revision = m_revision;
+        if (kind == ObjectKind::Settings)
+            objects.objects.push_back({"main", 1, false, nullptr, {}});
+        co_return objects;
+    }
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, std::uint64_t revision,
+                                                 Duration wait, CancelSink onCancel) override
+    {
+        asio::steady_timer timer(m_loop, wait);
+        onCancel([&timer] { timer.cancel(); });
+        co_await timer.async_wait(asTuple);
+        onCancel({});
+        StoredObjects none;
+        none.revision = revision;
+        co_return none;
+    }
+    asio::awaitable<Result<StoredObject>> get(ObjectKind kind, const std::string & /*name*/,
+                                              bool /*maybeOld*/) override
+    {
+        const auto found = m_objects.find(kind);
+        if (found == m_objects.end())
+            co_return Error{ErrorCode::NotFound, "none", {}};
+        co_return found->second;
+    }
+    asio::awaitable<WriteResult> put(ObjectKind kind, const std::string &name,
+                                     const std::string &text, std::uint64_t expected) override
+    {
+        StoredObject &object = m_objects[kind];
+        if (object.revision != expected)
+            co_return WriteResult{WriteEnd::Conflict, object};
+        object = {name, ++m_revision, false, nullptr, text};
+        co_return WriteResult{WriteEnd::Stored, object};
+    }
+
+private:
+    asio::io_context &m_loop;
+    std::uint64_t m_revision = 7;
+    std::map<ObjectKind, StoredObject> m_objects;
+};
+
+/// Which answers a target sends a second time.
+enum class Repeats {
+    ToGrants, ///< Late: right before it carries out the next order on that connection.
+    ToReleases, ///< In the same way.
+    GrantsElsewhere, ///< Those to grants, before it carries out a release on any connection.
+};
+
+/// Keys that targets are asked to release and still work on.
+struct KeysAtWork
+{
+    struct Span
+    {
+        int from = 0;
+        int to = 0;
+    };
+
+    std::vector<Span> spans;
+    int released = 0; ///< Releases whose work has ended.
+    int grantedEarly = 0; ///< Grants of such keys to a target.
+
+    void granted(const Span &keys)
+    {
+        grantedEarly += static_cast<int>(std::ranges::count_if(
+            spans, [&](const Span &span) { return span.from <= keys.to && keys.from <= span.to; }));
+    }
+    void ended(const Span &keys)
+    {
+        ++released;
+        std::erase_if(spans, [&](const Span &span) { return span.from == keys.from; });
+    }
+};
+
+/// A target that sends some answers to orders twice.
+class RepeatingTarget
+{
+public:
+    /// Work that is in progress on its keys when a release arrives.
+    static constexpr Duration workInProgress = milliseconds(300);
+
+    RepeatingTarget(asio::io_context &loop, Repeats repeats, KeysAtWork &atWork)
+        : m_repeats(repeats),
+          m_atWork(atWork),
+          m_target(loop,
+                   [this](tcp::socket &socket, const HttpRequest &order, int connection,
+                          int /*index*/) { return carryOut(socket, order, connection); })
+    { }
+
+    [[nodiscard]] TargetEntry entry(const std::string &id, bool draining) const
+    {
+        TargetEntry entry;
+        entry.id = id;
+        entry.incarnation = 1;
+        entry.service = "s";
+        entry.slots = 4;
+        entry.address = m_target.address();
+        entry.draining = draining;
+        return entry;
+    }
+    [[nodiscard]] int grants() const noexcept { return m_grants; }
+
+private:
+    asio::awaitable<void> carryOut(tcp::socket &socket, HttpRequest order, int connection)
+    {
+        const bool grant = order.target() == "/grant";
+        const auto body = nlohmann::json::parse(order.body());
+        const KeysAtWork::Span keys{body.at("from"), body.at("to")};
+        if (!grant)
+            m_atWork.spans.push_back(keys);
+        const bool anyConnection = m_repeats == Repeats::GrantsElsewhere;
+        const auto owed = m_owed.find(anyConnection ? 0 : connection);
+        if (owed != m_owed.end() && (!grant || !anyConnection))
+            co_await send(socket, std::exchange(owed->second, {}));
+        std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+        if (grant) {
+            ++m_grants;
+            m_atWork.granted(keys);
+        } else {
+            co_await pause(socket, workInProgress);
+            m_atWork.ended(keys);
+            text += "X-Lease-Handover: h\r\n";
+        }
+        text += "\r\n";
+        if (grant != (m_repeats == Repeats::ToReleases))
+            m_owed[anyConnection ? 0 : connection] = text;
+        co_await send(socket, text);
+    }
+
+    Repeats m_repeats;
+    KeysAtWork &m_atWork;
+    int m_grants = 0;
+    std::map<int, std::string> m_owed; ///< Copies to send, by connection.
+    ScriptedTarget m_target;
+};
+
+class ExtraOrderAnswers : public ::testing::TestWithParam<Repeats>
+{ };
+
+/// A second copy of an answer was taken for the answer to the release that followed it on the
+/// connection, and the keys were granted elsewhere while their owner was at work on them (OWNER,
+/// review/2). Some keys of the first target
+/// move to the second one, and all others when the first one leaves.
+TEST_P(ExtraOrderAnswers, doNotPassForTheAnswerToARelease)
+{
+    asio::io_context loop;
+    const BoottimeClock clock;
+    EventLog log(std::make_unique<SilentLog>(), clock, "a");
+    HttpTargetProtocol protocol;
+    KeyedServiceCodec codec;
+    QuietStore store(loop);
+    GatewayOptions options;
+    options.name = "a";
+    Gateway gateway(loop, clock, log, protocol, store, codec, options);
+    Control control(gateway, "1");
+    KeysAtWork atWork;
+    RepeatingTarget first(loop, GetParam(), atWork);
+    RepeatingTarget second(loop, GetParam(), atWork);
+    ASSERT_TRUE(control.start());
+    const auto runUntil = [&loop](const auto &condition) {
+        for (int step = 0; step < 1000 && !condition(); ++step)
+            loop.run_for(milliseconds(10));
+        return condition();
+    };
+    const auto put = [&](const RepeatingTarget &target, const std::string &id, bool draining) {
+        gateway.directory.put(target.entry(id, draining), clock.now(), clock.now());
+    };
+    loop.run_for(milliseconds(50));
+    put(first, "t1", false);
+    ASSERT_TRUE(runUntil([&] { return first.grants() > 2; }));
+    put(second, "t2", false);
+    ASSERT_TRUE(runUntil([&] { return second.grants() > 0 && atWork.spans.empty(); }));
+    const int moved = atWork.released;
+    EXPECT_GT(moved, 0);
+    put(first, "t1", true);
+    ASSERT_TRUE(runUntil([&] { return atWork.released > moved && atWork.spans.empty(); }));
+    EXPECT_EQ(atWork.grantedEarly, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Copies, ExtraOrderAnswers,
+                         ::testing::Values(Repeats::ToGrants, Repeats::ToReleases,
+                                           Repeats::GrantsElsewhere));
+
+} // namespace
+
+} // namespace yuccaspan::platform
