An instance back from a cut believes no change older than its peers' lists (DRAIN)

Callers: requests to targets that had left, from an instance that the store had turned away for seconds.

Ruled out: the pause between watches as such (capped at 0.4 of the drain time, 1.2 s), and a late event loop (0.25 s at most there).

Change: a list of a peer counts only with a higher revision, and makes the instance list from the store before it watches on. An answer that may be cut (400 events or more) is followed by the next watch at once.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -62,18 +62,31 @@
     hooks.state = [this] { return sharedState(); };
     hooks.settings = [this](const StoredObject &object) { onSettingsChanged(object); };
     hooks.targets = [this](const std::vector<TargetEntry> &entries, std::uint64_t revision) {
-        updateChangedSince(ObjectKind::Targets, m_gateway.now());
-        m_revisions[ObjectKind::Targets] = revision;
+        if (!acceptFromPeer(ObjectKind::Targets, revision))
+            return;
         applyTargets(entries);
     };
     hooks.evacuated = [this](const std::vector<std::string> &zones, std::uint64_t revision) {
-        updateChangedSince(ObjectKind::Evacuations, m_gateway.now());
-        m_revisions[ObjectKind::Evacuations] = revision;
+        if (!acceptFromPeer(ObjectKind::Evacuations, revision))
+            return;
         setEvacuated({zones.begin(), zones.end()});
     };
     return hooks;
 }
 
+/// Whether a peer's list of a kind is newer than what is known. If so, the kind is listed before it
+/// is watched again: a watch from the revision that was read before would bring changes that are
+/// older than the peer's list.
+bool Control::acceptFromPeer(ObjectKind kind, std::uint64_t revision)
+{
+    if (revision <= m_revisions[kind])
+        return false;
+    updateChangedSince(kind, m_gateway.now());
+    m_revisions[kind] = revision;
+    m_relist.insert(kind);
+    return true;
+}
+
 SharedState Control::sharedState() const
 {
     SharedState state;
@@ -237,6 +250,8 @@
             co_await m_gateway.store.watch(follower.kind, revision, watchWait, keepCancel);
         if (changes) {
             recordStoreCall(true, "watch");
+            if (m_relist.contains(follower.kind))
+                continue;
             logUnreadable(follower.kind, changes->unreadable);
             updateChangedSince(follower.kind, askedAt);
             revision = std::max(revision, changes->revision);
@@ -251,10 +266,12 @@
                 applyEvacuations();
             if (changes->objects.empty())
                 continue;
-            if (follower.kind != ObjectKind::ShardMaps)
-                co_await batchChanges(follower);
-            else if (mapsChange = co_await batchMapChanges(changes->objects.size()); mapsChange)
+            if (follower.kind != ObjectKind::ShardMaps) {
+                if (!changes->mayHaveMore)
+                    co_await batchChanges(follower);
+            } else if (mapsChange = co_await batchMapChanges(changes->objects.size()); mapsChange) {
                 revision = 0;
+            }
             continue;
         }
         if (changes.error().code == ErrorCode::LimitExceeded) {
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -114,6 +114,7 @@
     asio::awaitable<void> readUntilAnswered();
     [[nodiscard]] PeerLink::Hooks peerHooks();
     [[nodiscard]] SharedState sharedState() const;
+    bool acceptFromPeer(ObjectKind kind, std::uint64_t revision);
     [[nodiscard]] double slowness(const Target &target) const;
 
     Gateway &m_gateway;
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -46,6 +46,7 @@
     std::vector<StoredObject> objects;
     std::uint64_t revision = 0;
     std::size_t unreadable = 0; ///< Objects that were left out because they can't be read.
+    bool mayHaveMore = false; ///< Changes only: the store may have cut the answer short.
 };
 
 /// \brief Receives a function that cancels a wait, and an empty one when the wait is over.
