Revisions of the store have a type that includes the era

A store that comes back from a copy gives revisions out again, so a number alone identifies no state. No behaviour changes yet: nothing reacts to a higher era.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -61,12 +61,12 @@
     hooks.storeUnavailable = [this] { return m_storeUnavailable; };
     hooks.state = [this] { return sharedState(); };
     hooks.settings = [this](const StoredObject &object) { onSettingsChanged(object); };
-    hooks.targets = [this](const std::vector<TargetEntry> &entries, std::uint64_t revision) {
+    hooks.targets = [this](const std::vector<TargetEntry> &entries, StoreRevision revision) {
         if (!acceptFromPeer(ObjectKind::Targets, revision))
             return;
         applyTargets(entries);
     };
-    hooks.evacuated = [this](const std::vector<std::string> &zones, std::uint64_t revision) {
+    hooks.evacuated = [this](const std::vector<std::string> &zones, StoreRevision revision) {
         if (!acceptFromPeer(ObjectKind::Evacuations, revision))
             return;
         setEvacuated({zones.begin(), zones.end()});
@@ -77,7 +77,7 @@
 /// Whether a peer's list of a kind is newer than what is known. If so, the kind is listed before it
 /// is watched again: a watch from the revision that was read before would bring changes that are
 /// older than the peer's list.
-bool Control::acceptFromPeer(ObjectKind kind, std::uint64_t revision)
+bool Control::acceptFromPeer(ObjectKind kind, StoreRevision revision)
 {
     if (revision <= m_revisions[kind])
         return false;
@@ -92,7 +92,7 @@
     SharedState state;
     const auto revisionOf = [this](ObjectKind kind) {
         const auto found = m_revisions.find(kind);
-        return found == m_revisions.end() ? std::uint64_t{0} : found->second;
+        return found == m_revisions.end() ? StoreRevision{} : found->second;
     };
     state.targetsRevision = revisionOf(ObjectKind::Targets);
     state.evacuationsRevision = revisionOf(ObjectKind::Evacuations);
@@ -207,7 +207,7 @@
     answeredAt = now;
 }
 
-asio::awaitable<bool> Control::listAll(const Follower &follower, std::uint64_t &revision)
+asio::awaitable<bool> Control::listAll(const Follower &follower, StoreRevision &revision)
 {
     const Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
     recordStoreCall(listed.hasValue(), "list");
@@ -224,18 +224,18 @@
 
 asio::awaitable<void> Control::follow(Follower follower)
 {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     bool mapsChange = false;
     while (true) {
         if (m_relist.erase(follower.kind) != 0)
-            revision = 0;
-        if (revision == 0 && !co_await listAll(follower, revision)) {
+            revision = {};
+        if (!revision.known() && !co_await listAll(follower, revision)) {
             co_await pause(storePause);
             continue;
         }
         if (mapsChange) {
             mapsChange = co_await batchMapChanges(0);
-            revision = mapsChange ? 0 : revision;
+            revision = mapsChange ? StoreRevision{} : revision;
             continue;
         }
         m_watchRestarted[follower.kind] = false;
@@ -270,13 +270,13 @@
                 if (!changes->mayHaveMore)
                     co_await batchChanges(follower);
             } else if (mapsChange = co_await batchMapChanges(changes->objects.size()); mapsChange) {
-                revision = 0;
+                revision = {};
             }
             continue;
         }
         if (changes.error().code == ErrorCode::LimitExceeded) {
             // The store no longer has the history since our revision; list the objects instead.
-            revision = 0;
+            revision = {};
             m_gateway.log.write("store", "history-gone", {{"kind", int(follower.kind)}});
             continue;
         }
@@ -294,9 +294,9 @@
 }
 
 /// Revision of the newest known shard map, from the store or from the placer.
-std::uint64_t Control::newestMap() const noexcept
+StoreRevision Control::newestMap() const noexcept
 {
-    std::uint64_t newest = 0;
+    StoreRevision newest;
     for (const auto &[service, map] : m_gateway.shardMaps)
         newest = std::max(newest, map.revision);
     return newest;
@@ -308,9 +308,9 @@
 /// write since, 2 MB in 1.5 s when many keys move, on links of 10 Mbit/s.
 asio::awaitable<bool> Control::batchMapChanges(std::size_t changes)
 {
-    const std::uint64_t read = newestMap();
+    const StoreRevision read = newestMap();
     const TimePoint latest = m_gateway.now() + maxMapReadInterval;
-    std::uint64_t before = 0;
+    StoreRevision before;
     m_gateway.shardMapsStale = false;
     do {
         before = newestMap();
@@ -340,7 +340,7 @@
     const nlohmann::json entry{{"zone", m_gateway.options.zone},
                                {"start", m_start},
                                {"peers", m_gateway.options.peerAddress}};
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     while (!m_gateway.stopping) {
         const WriteResult written = co_await m_gateway.store.put(
             ObjectKind::Instances, m_gateway.options.name, entry.dump(), revision);
@@ -390,7 +390,7 @@
     m_gateway.log.write("membership", "listed",
                         {{"targets", entries.size()},
                          {"unnamed", m_unnamedTargets.size()},
-                         {"revision", m_revisions[ObjectKind::Targets]}});
+                         {"revision", revisionJson(m_revisions[ObjectKind::Targets])}});
 }
 
 /// Adds the targets whose service is in the desired state by now.
@@ -413,7 +413,7 @@
     if (object.deleted) {
         m_gateway.directory.remove(object.name, now, m_changedSince);
         m_gateway.log.write("membership", "target-gone",
-                            {{"target", object.name}, {"revision", object.revision}});
+                            {{"target", object.name}, {"revision", revisionJson(object.revision)}});
         m_gateway.wakeAll();
         return;
     }
@@ -431,7 +431,7 @@
                              {"service", entry->service},
                              {"address", entry->address},
                              {"incarnation", entry->incarnation},
-                             {"revision", object.revision}});
+                             {"revision", revisionJson(object.revision)}});
         m_unnamedTargets[entry->id] = {*entry, m_changedSince};
         m_gateway.directory.remove(object.name, now, m_changedSince);
         m_gateway.wakeAll();
@@ -445,7 +445,7 @@
                          {"zone", entry->zone},
                          {"address", entry->address},
                          {"incarnation", entry->incarnation},
-                         {"revision", object.revision}});
+                         {"revision", revisionJson(object.revision)}});
     m_gateway.wakeAll();
 }
 
@@ -472,7 +472,7 @@
                         {{"version", state->version},
                          {"before", known},
                          {"routes", state->routes.size()},
-                         {"revision", object.revision}});
+                         {"revision", revisionJson(object.revision)}});
     m_settings = object;
     m_gateway.apply(std::make_shared<DesiredState>(std::move(*state)));
     adoptNamedTargets();
@@ -504,7 +504,7 @@
 
 void Control::applyEvacuations()
 {
-    const std::uint64_t read = m_revisions[ObjectKind::Targets];
+    const StoreRevision read = m_revisions[ObjectKind::Targets];
     std::erase_if(m_returning, [read](const auto &item) { return item.second <= read; });
     std::vector<std::string> zones(m_evacuated.begin(), m_evacuated.end());
     for (const auto &[zone, revision] : m_returning)
@@ -527,7 +527,7 @@
 void Control::onEvacuationChanged(const StoredObject &object)
 {
     m_gateway.log.write("settings", object.deleted ? "zone-in" : "zone-out",
-                        {{"zone", object.name}, {"revision", object.revision}});
+                        {{"zone", object.name}, {"revision", revisionJson(object.revision)}});
     std::set<std::string, std::less<>> zones = m_evacuated;
     if (object.deleted)
         zones.erase(object.name);
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -61,16 +61,16 @@
     {
         std::uint64_t id = 0; ///< Unique; tasks of an earlier one must not affect a later one.
         std::optional<ShardPlacer> placer;
-        std::uint64_t revision = 0; ///< Revision of the stored record.
+        StoreRevision revision; ///< Of the stored record.
     };
 
     asio::awaitable<void> follow(Follower follower);
-    asio::awaitable<bool> listAll(const Follower &follower, std::uint64_t &revision);
+    asio::awaitable<bool> listAll(const Follower &follower, StoreRevision &revision);
     void logUnreadable(ObjectKind kind, std::size_t count);
     void updateChangedSince(ObjectKind kind, TimePoint askedAt);
     asio::awaitable<void> batchChanges(const Follower &follower);
     asio::awaitable<bool> batchMapChanges(std::size_t changes);
-    [[nodiscard]] std::uint64_t newestMap() const noexcept;
+    [[nodiscard]] StoreRevision newestMap() const noexcept;
     [[nodiscard]] Duration batchDelayFor(const Follower &follower) const noexcept;
     asio::awaitable<void> registerInstance();
     asio::awaitable<void> keepLease();
@@ -114,7 +114,7 @@
     asio::awaitable<void> readUntilAnswered();
     [[nodiscard]] PeerLink::Hooks peerHooks();
     [[nodiscard]] SharedState sharedState() const;
-    bool acceptFromPeer(ObjectKind kind, std::uint64_t revision);
+    bool acceptFromPeer(ObjectKind kind, StoreRevision revision);
     [[nodiscard]] double slowness(const Target &target) const;
 
     Gateway &m_gateway;
@@ -132,10 +132,10 @@
     std::uint64_t m_lastPlacing = 0; ///< Id of the last Placing.
     std::map<std::string, UnnamedTarget, std::less<>> m_unnamedTargets; ///< By id.
     std::set<std::string, std::less<>> m_evacuated;
-    std::map<std::string, std::uint64_t> m_returning; ///< Zones taken back, by store revision.
+    std::map<std::string, StoreRevision> m_returning; ///< Zones taken back, by store revision.
     std::set<ObjectKind> m_relist; ///< Kinds to list before they are watched again.
     std::map<std::string, std::string> m_instances; ///< Peer address by name.
-    std::map<ObjectKind, std::uint64_t> m_revisions; ///< Store revision last read, by kind.
+    std::map<ObjectKind, StoreRevision> m_revisions; ///< Store revision last read, by kind.
     std::map<ObjectKind, TimePoint> m_answeredAt; ///< Last answer, by kind.
     TimePoint m_changedSince{}; ///< Earliest time of the changes being applied.
     StoredObject m_settings; ///< The desired state in force, as stored.
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -85,7 +85,7 @@
     if (m_lease.held(m_gateway.now()))
         co_return found.hasValue() || absent;
     if (absent) {
-        m_lease.observed(std::nullopt, 0, m_gateway.now());
+        m_lease.observed(std::nullopt, {}, m_gateway.now());
     } else if (found) {
         const Result<LeaseRecord> record = decodeLease(found->text);
         m_lease.observed(record ? std::optional(*record) : std::nullopt, found->revision,
@@ -109,8 +109,9 @@
     if (written.end == WriteEnd::Stored) {
         m_lease.stored(record, written.object.revision, sentAt);
         m_wasPlacing = true;
-        m_gateway.log.write("placement", "lease-taken",
-                            {{"before", before}, {"revision", written.object.revision}});
+        m_gateway.log.write(
+            "placement", "lease-taken",
+            {{"before", before}, {"revision", revisionJson(written.object.revision)}});
     } else if (written.end == WriteEnd::Conflict) {
         const Result<LeaseRecord> current = decodeLease(written.object.text);
         m_lease.observed(current ? std::optional(*current) : std::nullopt, written.object.revision,
@@ -251,12 +252,12 @@
     }
     PlacerTiming timing;
     timing.hold = std::min(timing.hold, m_gateway.options.maxHold);
-    placing->revision = found ? found->revision : 0;
+    placing->revision = found ? found->revision : StoreRevision{};
     placing->placer = ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
     placing->placer->adopt(stored, m_gateway.now());
     m_gateway.log.write("placement", "adopted",
                         {{"service", service},
-                         {"revision", placing->revision},
+                         {"revision", revisionJson(placing->revision)},
                          {"ranges", stored ? stored->ranges.size() : 0}});
     decide(service, *placing);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -183,7 +183,7 @@
     wakeAll();
 }
 
-void Gateway::apply(ShardMap map, std::uint64_t revision)
+void Gateway::apply(ShardMap map, StoreRevision revision)
 {
     KnownShardMap &known = shardMaps[map.service];
     if (revision <= known.revision)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -43,6 +43,8 @@
         std::chrono::seconds(5); ///< Time until an evacuated zone gets no more requests.
     Duration stopWithin = std::chrono::seconds(6); ///< From SIGTERM to the end of the process.
     Duration maxHold = std::chrono::seconds(10); ///< Longest grant that targets accept.
+    std::size_t pipelineDepth = 1; ///< Requests of one connection that are in progress at a time.
+    std::size_t pipelineBytes = 262144; ///< Answers that wait on a connection before reading stops.
     std::size_t bodyMemory = defaultBodyMemory(); ///< For all buffered bodies together, in bytes.
 };
 
@@ -71,7 +73,7 @@
 struct KnownShardMap
 {
     ShardMap map;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::map<std::uint32_t, TimePoint> movingSince; ///< By first key of the moving ranges.
 };
 
@@ -144,7 +146,7 @@
     /// \brief Applies a newer desired state.
     void apply(std::shared_ptr<const DesiredState> state);
     /// \brief Applies a shard map unless the known one is as new or newer.
-    void apply(ShardMap map, std::uint64_t revision);
+    void apply(ShardMap map, StoreRevision revision);
     /// \brief Sets the known instances, by name.
     void setInstances(const std::vector<std::string> &names);
     /// \brief Wakes all waiting requests after a change of their possible targets.
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -187,10 +187,10 @@
     const SharedState known = m_hooks.state();
     json maps = json::object();
     for (const auto &[service, map] : m_gateway.shardMaps)
-        maps[service] = map.revision;
-    const json query{{"settings", known.settings.revision},
-                     {"targets", known.targetsRevision},
-                     {"evacuations", known.evacuationsRevision},
+        maps[service] = revisionJson(map.revision);
+    const json query{{"settings", revisionJson(known.settings.revision)},
+                     {"targets", revisionJson(known.targetsRevision)},
+                     {"evacuations", revisionJson(known.evacuationsRevision)},
                      {"maps", std::move(maps)}};
     HttpRequest request(http::verb::post, "/state", httpVersion11);
     request.set(http::field::host, address);
@@ -214,32 +214,34 @@
         const json query = json::parse(request);
         const SharedState state = m_hooks.state();
         json answer = json::object();
-        if (state.settings.revision > query.at("settings").get<std::uint64_t>()
-            && state.settings.body) {
+        if (state.settings.revision > revisionOf(query.at("settings")) && state.settings.body) {
             answer["settings"] = {{"name", state.settings.name},
-                                  {"revision", state.settings.revision},
+                                  {"revision", revisionJson(state.settings.revision)},
                                   {"body", *state.settings.body}};
         }
-        if (state.targetsRevision > query.at("targets").get<std::uint64_t>()) {
+        if (state.targetsRevision > revisionOf(query.at("targets"))) {
             json entries = json::array();
             for (const auto &[id, target] : m_gateway.directory.targets()) {
                 if (target.listed)
                     entries.push_back(encodeEntry(currentEntry(target, m_gateway.now())));
             }
-            answer["targets"] = {{"revision", state.targetsRevision},
+            answer["targets"] = {{"revision", revisionJson(state.targetsRevision)},
                                  {"entries", std::move(entries)}};
         }
-        if (state.evacuationsRevision > query.at("evacuations").get<std::uint64_t>()) {
-            answer["evacuations"] = {{"revision", state.evacuationsRevision},
+        if (state.evacuationsRevision > revisionOf(query.at("evacuations"))) {
+            answer["evacuations"] = {{"revision", revisionJson(state.evacuationsRevision)},
                                      {"zones", state.evacuated}};
         }
-        json maps = json::array();
+        json newer = json::array();
         for (const auto &[service, map] : m_gateway.shardMaps) {
-            const auto known = query.at("maps").value(service, std::uint64_t{0});
+            const json &maps = query.at("maps");
+            const StoreRevision known =
+                maps.contains(service) ? revisionOf(maps.at(service)) : StoreRevision{};
             if (map.revision > known)
-                maps.push_back({{"revision", map.revision}, {"text", encodeShardMap(map.map)}});
+                newer.push_back(
+                    {{"revision", revisionJson(map.revision)}, {"text", encodeShardMap(map.map)}});
         }
-        answer["maps"] = std::move(maps);
+        answer["maps"] = std::move(newer);
         return answer.dump();
     } catch (const json::exception &failure) {
         m_gateway.log.write("peers", "bad-question", {{"error", failure.what()}});
@@ -254,7 +256,7 @@
         if (root.contains("settings")) {
             StoredObject object;
             object.name = root.at("settings").at("name").get<std::string>();
-            object.revision = root.at("settings").at("revision").get<std::uint64_t>();
+            object.revision = revisionOf(root.at("settings").at("revision"));
             object.body = std::make_shared<const json>(root.at("settings").at("body"));
             m_hooks.settings(object);
         }
@@ -262,16 +264,16 @@
             std::vector<TargetEntry> entries;
             for (const json &entry : root.at("targets").at("entries"))
                 entries.push_back(decodeEntry(entry));
-            m_hooks.targets(entries, root.at("targets").at("revision"));
+            m_hooks.targets(entries, revisionOf(root.at("targets").at("revision")));
         }
         if (root.contains("evacuations")) {
             m_hooks.evacuated(root.at("evacuations").at("zones"),
-                              root.at("evacuations").at("revision"));
+                              revisionOf(root.at("evacuations").at("revision")));
         }
         for (const json &item : root.at("maps")) {
             Result<ShardMap> map = decodeShardMap(item.at("text").get<std::string>());
             if (map)
-                m_gateway.apply(std::move(*map), item.at("revision").get<std::uint64_t>());
+                m_gateway.apply(std::move(*map), revisionOf(item.at("revision")));
         }
     } catch (const json::exception &failure) {
         m_gateway.log.write("peers", "bad-answer", {{"error", failure.what()}});
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -21,8 +21,8 @@
 /// owners that they know. Placement decisions are never based on it.
 struct SharedState
 {
-    std::uint64_t targetsRevision = 0;
-    std::uint64_t evacuationsRevision = 0;
+    StoreRevision targetsRevision;
+    StoreRevision evacuationsRevision;
     StoredObject settings; ///< The desired state, as stored.
     std::vector<std::string> evacuated;
 };
@@ -40,8 +40,8 @@
         std::function<SharedState()> state;
         /// Applies settings, targets and evacuations that are newer than the known ones.
         std::function<void(const StoredObject &)> settings;
-        std::function<void(const std::vector<TargetEntry> &, std::uint64_t)> targets;
-        std::function<void(const std::vector<std::string> &, std::uint64_t)> evacuated;
+        std::function<void(const std::vector<TargetEntry> &, StoreRevision)> targets;
+        std::function<void(const std::vector<std::string> &, StoreRevision)> evacuated;
     };
 
     PeerLink(Gateway &gateway, Hooks hooks);
--- a/src/gateway/placer_lease.cpp
+++ b/src/gateway/placer_lease.cpp
@@ -45,7 +45,7 @@
     return LeaseStep::Nothing;
 }
 
-void PlacerLease::observed(const std::optional<LeaseRecord> &record, std::uint64_t revision,
+void PlacerLease::observed(const std::optional<LeaseRecord> &record, StoreRevision revision,
                            TimePoint now)
 {
     m_readAt = now;
@@ -59,7 +59,7 @@
     m_seenSince = now;
 }
 
-bool PlacerLease::mayAcquire(std::uint64_t revision, TimePoint now) const noexcept
+bool PlacerLease::mayAcquire(StoreRevision revision, TimePoint now) const noexcept
 {
     if (revision != m_revision)
         return false;
@@ -73,7 +73,7 @@
     return {m_name, m_start, m_seen.renewal + 1};
 }
 
-void PlacerLease::stored(const LeaseRecord &record, std::uint64_t revision, TimePoint sentAt)
+void PlacerLease::stored(const LeaseRecord &record, StoreRevision revision, TimePoint sentAt)
 {
     m_seen = record;
     m_revision = revision;
--- a/src/gateway/placer_lease.hpp
+++ b/src/gateway/placer_lease.hpp
@@ -2,6 +2,7 @@
 /// \brief The placer lease: elects the placer by means of an object in the store.
 #pragma once
 
+#include "gateway/store_revision.hpp"
 #include "yuccaspan/clock.hpp"
 #include "yuccaspan/result.hpp"
 
@@ -59,20 +60,20 @@
     [[nodiscard]] LeaseStep step(TimePoint now) const noexcept;
     /// \brief Handles the result of a read or of a rejected write.
     /// \param record Nothing if there is no valid object.
-    void observed(const std::optional<LeaseRecord> &record, std::uint64_t revision, TimePoint now);
+    void observed(const std::optional<LeaseRecord> &record, StoreRevision revision, TimePoint now);
     /// \brief Whether the object at that revision may be replaced by our record.
-    [[nodiscard]] bool mayAcquire(std::uint64_t revision, TimePoint now) const noexcept;
+    [[nodiscard]] bool mayAcquire(StoreRevision revision, TimePoint now) const noexcept;
     /// \brief The record to write next.
     [[nodiscard]] LeaseRecord next() const;
     /// \brief Handles the successful write of our record.
     /// \param sentAt When that write was sent.
-    void stored(const LeaseRecord &record, std::uint64_t revision, TimePoint sentAt);
+    void stored(const LeaseRecord &record, StoreRevision revision, TimePoint sentAt);
     /// \brief Whether this instance holds the lease at that time.
     [[nodiscard]] bool held(TimePoint now) const noexcept { return now < m_heldUntil; }
     /// \brief Stops holding the lease, without a write.
     void drop() noexcept { m_heldUntil = TimePoint{}; }
-    /// \brief Last observed revision; 0 if there is no object.
-    [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+    /// \brief Last observed revision; none if there is no object.
+    [[nodiscard]] StoreRevision revision() const noexcept { return m_revision; }
     /// \brief Name of the last observed holder.
     [[nodiscard]] const std::string &holder() const noexcept { return m_seen.holder; }
     /// \brief Whether this start of the instance wrote the record.
@@ -83,7 +84,7 @@
     std::string m_start;
     LeaseTiming m_timing;
     LeaseRecord m_seen;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
     bool m_wasRead = false;
     TimePoint m_seenSince{};
     TimePoint m_readAt{};
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -5,6 +5,7 @@
 #include "gateway/desired_state.hpp"
 #include "gateway/http_types.hpp"
 #include "gateway/shard_placer.hpp"
+#include "gateway/store_revision.hpp"
 #include "gateway/target_directory.hpp"
 #include "gateway/target_gate.hpp"
 #include "gateway/target_signals.hpp"
@@ -34,7 +35,7 @@
 struct StoredObject
 {
     std::string name;
-    std::uint64_t revision = 0; ///< Revision of its last change.
+    StoreRevision revision; ///< Of its last change.
     bool deleted = false; ///< Only in changes: the object was deleted.
     std::shared_ptr<const nlohmann::json> body; ///< As received from the store.
     std::string text; ///< The stored text, for kinds that the gateway writes.
@@ -44,7 +45,7 @@
 struct StoredObjects
 {
     std::vector<StoredObject> objects;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::size_t unreadable = 0; ///< Objects that were left out because they can't be read.
     bool mayHaveMore = false; ///< Changes only: the store may have cut the answer short.
 };
@@ -81,16 +82,16 @@
     virtual asio::awaitable<Result<StoredObjects>> list(ObjectKind kind) = 0;
     /// \brief Changes of a kind after a revision; waits for at least one.
     /// \param onCancel Receives a function that cancels the wait.
-    virtual asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, std::uint64_t revision,
+    virtual asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, StoreRevision revision,
                                                          Duration wait, CancelSink onCancel) = 0;
     /// \brief One object.
     /// \param maybeOld Whether a result that is seconds old is acceptable; it costs less.
     virtual asio::awaitable<Result<StoredObject>> get(ObjectKind kind, const std::string &name,
                                                       bool maybeOld) = 0;
     /// \brief Writes an object of a kind that the gateway owns.
-    /// \param revision Revision that it replaces; 0 to create it.
+    /// \param revision Revision that it replaces; none to create it.
     virtual asio::awaitable<WriteResult> put(ObjectKind kind, const std::string &name,
-                                             const std::string &text, std::uint64_t revision) = 0;
+                                             const std::string &text, StoreRevision revision) = 0;
 };
 
 /// \brief Facts from the headers of a request.
--- a/src/gateway/shard_delta.cpp
+++ b/src/gateway/shard_delta.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-ShardDelta shardDelta(const ShardMap &before, const ShardMap &after, std::uint64_t revision)
+ShardDelta shardDelta(const ShardMap &before, const ShardMap &after, StoreRevision revision)
 {
     ShardDelta delta{after.service, after.placer, after.term, before.write,
                      after.write,   revision,     {},         {}};
@@ -81,7 +81,7 @@
                               {"term", delta.term},
                               {"before", delta.before},
                               {"write", delta.write},
-                              {"revision", delta.revision},
+                              {"revision", revisionJson(delta.revision)},
                               {"ranges", std::move(ranges)},
                               {"targets", std::move(targets)}});
 }
@@ -96,7 +96,7 @@
         delta.term = root.at("term").get<std::uint64_t>();
         delta.before = root.at("before").get<std::uint64_t>();
         delta.write = root.at("write").get<std::uint64_t>();
-        delta.revision = root.at("revision").get<std::uint64_t>();
+        delta.revision = revisionOf(root.at("revision"));
         for (const json &item : root.at("ranges"))
             delta.changed.push_back(rangeOf(item));
         for (const json &item : root.at("targets"))
--- a/src/gateway/shard_delta.hpp
+++ b/src/gateway/shard_delta.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/shard_map.hpp"
+#include "gateway/store_revision.hpp"
 #include "gateway/target_directory.hpp"
 
 #include <cstdint>
@@ -22,14 +23,14 @@
     std::uint64_t term = 0;
     std::uint64_t before = 0; ///< Write that the delta applies to.
     std::uint64_t write = 0; ///< Write that it results in.
-    std::uint64_t revision = 0; ///< Store revision of the resulting write.
+    StoreRevision revision; ///< Of the resulting write.
     std::vector<ShardRange> changed; ///< In order.
     std::vector<TargetEntry> targets; ///< New targets among the owners.
 };
 
 /// \brief Computes the changes between two successive maps of the same service.
 [[nodiscard]] ShardDelta shardDelta(const ShardMap &before, const ShardMap &after,
-                                    std::uint64_t revision);
+                                    StoreRevision revision);
 /// \brief Applies a delta.
 /// \returns The resulting map, or nothing if the delta is based on another one.
 [[nodiscard]] std::optional<ShardMap> applyDelta(const ShardMap &map, const ShardDelta &delta);
--- a/tests/gateway/control_doubles.hpp
+++ b/tests/gateway/control_doubles.hpp
@@ -59,7 +59,7 @@
 {
 public:
     asio::awaitable<Result<StoredObjects>> list(ObjectKind /*kind*/) override { co_return none(); }
-    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, std::uint64_t /*revision*/,
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, StoreRevision /*revision*/,
                                                  Duration /*wait*/,
                                                  CancelSink /*onCancel*/) override
     {
@@ -72,7 +72,7 @@
     }
     asio::awaitable<WriteResult> put(ObjectKind /*kind*/, const std::string & /*name*/,
                                      const std::string & /*text*/,
-                                     std::uint64_t /*revision*/) override
+                                     StoreRevision /*revision*/) override
     {
         co_return WriteResult{};
     }
--- a/tests/gateway/fleet.cpp
+++ b/tests/gateway/fleet.cpp
@@ -88,7 +88,7 @@
     range.owner = Holder{id, 1, 1};
     map.ranges.push_back(range);
     for (const auto &instance : m_instances)
-        instance->gateway->apply(map, 1);
+        instance->gateway->apply(map, {0, 1});
 }
 
 std::shared_ptr<Flow> Fleet::newFlow(Duration patience) const
--- a/tests/gateway/test_control.cpp
+++ b/tests/gateway/test_control.cpp
@@ -24,7 +24,7 @@
     [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
     {
         DesiredState state;
-        state.version = object.revision;
+        state.version = object.revision.number;
         return state;
     }
 };
@@ -48,12 +48,12 @@
         StoredObjects objects;
         objects.revision = revision;
         if (kind == ObjectKind::Evacuations && evacuated)
-            objects.objects.push_back({"z", 3, false, nullptr, {}});
+            objects.objects.push_back({"z", {0, 3}, false, nullptr, {}});
         if (kind == ObjectKind::Targets)
-            objects.objects.push_back({"damaged", 3, false, nullptr, {}});
+            objects.objects.push_back({"damaged", {0, 3}, false, nullptr, {}});
         co_return objects;
     }
-    asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, std::uint64_t revision,
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, StoreRevision revision,
                                                  Duration wait, CancelSink onCancel) override
     {
         ++watches[kind];
@@ -72,7 +72,7 @@
             co_await timer.async_wait(asTuple);
             if (!evacuated) {
                 StoredObjects changes;
-                changes.objects.push_back({"z", 3, true, nullptr, {}});
+                changes.objects.push_back({"z", {0, 3}, true, nullptr, {}});
                 changes.revision = this->revision;
                 co_return changes;
             }
@@ -98,7 +98,7 @@
     }
     asio::awaitable<WriteResult> put(ObjectKind /*kind*/, const std::string & /*name*/,
                                      const std::string & /*text*/,
-                                     std::uint64_t /*revision*/) override
+                                     StoreRevision /*revision*/) override
     {
         co_return WriteResult{WriteEnd::Stored, {}};
     }
@@ -107,9 +107,9 @@
     std::map<ObjectKind, int> lists;
     bool evacuated = false; ///< Whether zone "z" is evacuated.
     bool blockTargets = false; ///< Whether lists of targets are not answered.
-    std::uint64_t revision = 7; ///< Of the store.
+    StoreRevision revision{0, 7}; ///< Of the store.
     StoredObjects mapChanges; ///< Result of the next watch of shard maps.
-    std::uint64_t lastRevision = 0;
+    StoreRevision lastRevision;
     Duration outage{}; ///< Silent time of the store, once, from the answer to the first watch on.
     static constexpr Duration outageStart = std::chrono::milliseconds(450);
     int reads = 0; ///< Single objects that were read.
@@ -163,7 +163,7 @@
     ASSERT_TRUE(fixture.control.start());
     EXPECT_TRUE(fixture.runUntil([&] { return fixture.store.watches[ObjectKind::Settings] >= 2; }));
     EXPECT_TRUE(fixture.runUntil([&] { return fixture.store.watches[ObjectKind::Targets] >= 2; }));
-    EXPECT_EQ(fixture.store.lastRevision, 7U);
+    EXPECT_EQ(fixture.store.lastRevision, (StoreRevision{0, 7}));
 }
 
 TEST(Control, skipsAnInvalidTargetEntry)
@@ -184,7 +184,7 @@
     map.service = "s";
     constexpr std::uint64_t writes = 20;
     for (map.write = 1; map.write <= writes; ++map.write) {
-        const std::uint64_t revision = 100 + map.write;
+        const StoreRevision revision{0, 100 + map.write};
         fixture.store.mapChanges.objects.push_back({"s", revision, false, {}, encodeShardMap(map)});
         fixture.store.mapChanges.revision = revision;
     }
@@ -207,7 +207,7 @@
     ASSERT_TRUE(fixture.runUntil([&] { return fixture.gateway.directory.evacuated("z"); }));
     ASSERT_TRUE(fixture.runUntil([&] { return fixture.store.watches[ObjectKind::Targets] > 0; }));
     fixture.store.blockTargets = true;
-    fixture.store.revision = 20;
+    fixture.store.revision = {0, 20};
     fixture.store.evacuated = false;
     EXPECT_TRUE(fixture.runUntil([&] { return fixture.store.lists[ObjectKind::Targets] > 1; }));
     EXPECT_TRUE(fixture.gateway.directory.evacuated("z"));
--- a/tests/gateway/test_control_placing.cpp
+++ b/tests/gateway/test_control_placing.cpp
@@ -28,7 +28,7 @@
     [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
     {
         DesiredState state;
-        state.version = object.revision;
+        state.version = object.revision.number;
         Service service;
         service.name = "s";
         service.keyed = true;
@@ -50,12 +50,12 @@
         objects.revision = revision;
         for (std::size_t index = 0; kind == ObjectKind::Targets && index < targets; ++index)
             objects.objects.push_back(
-                {index == 0 ? "t" : "t" + std::to_string(index), 3, false, nullptr, {}});
+                {index == 0 ? "t" : "t" + std::to_string(index), {0, 3}, false, nullptr, {}});
         if (kind == ObjectKind::Settings)
-            objects.objects.push_back({"main", 3, false, nullptr, {}});
+            objects.objects.push_back({"main", {0, 3}, false, nullptr, {}});
         co_return objects;
     }
-    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, std::uint64_t /*revision*/,
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, StoreRevision /*revision*/,
                                                  Duration wait, CancelSink onCancel) override
     {
         asio::steady_timer timer(m_loop, wait);
@@ -68,12 +68,12 @@
                                               bool /*maybeOld*/) override
     {
         const StoredObject &object = kind == ObjectKind::Leases ? lease : map;
-        if (object.revision == 0)
+        if (!object.revision.known())
             co_return Error{ErrorCode::NotFound, "none", {}};
         co_return object;
     }
     asio::awaitable<WriteResult> put(ObjectKind kind, const std::string &name,
-                                     const std::string &text, std::uint64_t expected) override
+                                     const std::string &text, StoreRevision expected) override
     {
         if (kind == ObjectKind::Instances)
             co_return WriteResult{WriteEnd::Stored, {}};
@@ -89,13 +89,13 @@
         StoredObject &object = kind == ObjectKind::Leases ? lease : map;
         if (object.revision != expected)
             co_return WriteResult{WriteEnd::Conflict, object};
-        object = {name, ++revision, false, nullptr, text};
+        object = {name, {0, ++revision.number}, false, nullptr, text};
         if (kind == ObjectKind::ShardMaps)
             storedMaps.push_back(*decodeShardMap(text));
         co_return WriteResult{WriteEnd::Stored, object};
     }
 
-    std::uint64_t revision = 7;
+    StoreRevision revision{0, 7};
     std::size_t targets = 1;
     StoredObject lease;
     StoredObject map;
@@ -140,7 +140,8 @@
     otherPlacersMap.write = 50;
     otherPlacersMap.lastFence = 982;
     otherPlacersMap.ranges.push_back({{0, lastKey}, Holder{"t", 1, 982}, std::nullopt});
-    store.map = {"s", ++store.revision, false, nullptr, encodeShardMap(otherPlacersMap)};
+    store.map = {
+        "s", {0, ++store.revision.number}, false, nullptr, encodeShardMap(otherPlacersMap)};
     store.acceptsLeaseWrites = true;
     ASSERT_TRUE(runUntil([&] { return !store.storedMaps.empty(); }));
     store.releaseFirstWrite = true;
--- a/tests/gateway/test_foreign_entries.cpp
+++ b/tests/gateway/test_foreign_entries.cpp
@@ -37,7 +37,7 @@
     [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
     {
         DesiredState state;
-        state.version = object.revision;
+        state.version = object.revision.number;
         std::istringstream text(object.text);
         for (Service service; text >> service.name;)
             state.services.emplace(service.name, service);
@@ -53,19 +53,19 @@
 
     void change(ObjectKind kind, const std::string &name, const std::string &text)
     {
-        m_changes[kind].push_back({name, ++m_revision, false, nullptr, text});
+        m_changes[kind].push_back({name, {0, ++m_revision.number}, false, nullptr, text});
     }
     asio::awaitable<Result<StoredObjects>> list(ObjectKind kind) override
     {
         StoredObjects objects;
         objects.revision = m_revision;
         if (kind == ObjectKind::Targets)
-            objects.objects.push_back({"t", 3, false, nullptr, "1 stock"});
+            objects.objects.push_back({"t", {0, 3}, false, nullptr, "1 stock"});
         if (kind == ObjectKind::Settings)
-            objects.objects.push_back({"main", 3, false, nullptr, "stock"});
+            objects.objects.push_back({"main", {0, 3}, false, nullptr, "stock"});
         co_return objects;
     }
-    asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, std::uint64_t /*revision*/,
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, StoreRevision /*revision*/,
                                                  Duration /*wait*/,
                                                  CancelSink /*onCancel*/) override
     {
@@ -87,14 +87,14 @@
     }
     asio::awaitable<WriteResult> put(ObjectKind /*kind*/, const std::string & /*name*/,
                                      const std::string & /*text*/,
-                                     std::uint64_t /*revision*/) override
+                                     StoreRevision /*revision*/) override
     {
         co_return WriteResult{WriteEnd::Stored, {}};
     }
 
 private:
     asio::io_context &m_loop;
-    std::uint64_t m_revision = 7;
+    StoreRevision m_revision{0, 7};
     std::map<ObjectKind, std::deque<StoredObject>> m_changes;
 };
 
@@ -204,11 +204,12 @@
     ShardMap map;
     map.service = "stock";
     map.ranges.push_back({{0, lastKey}, Holder{"t", 1, 1}, std::nullopt});
-    m_gateway.apply(map, 1);
-    auto send = [this, revision = 1](const std::string &id, const std::string &service) mutable {
+    m_gateway.apply(map, {0, 1});
+    auto send = [this, revision = std::uint64_t{1}](const std::string &id,
+                                                    const std::string &service) mutable {
         ShardDelta delta;
         delta.service = "stock";
-        delta.revision = ++revision;
+        delta.revision = {0, ++revision};
         TargetEntry entry;
         entry.id = id;
         entry.incarnation = 9;
--- a/tests/gateway/test_placer_lease.cpp
+++ b/tests/gateway/test_placer_lease.cpp
@@ -28,9 +28,9 @@
 {
     PlacerLease lease("a", "1");
     EXPECT_EQ(lease.step(start), LeaseStep::Read);
-    lease.observed(std::nullopt, 0, start);
+    lease.observed(std::nullopt, {}, start);
     EXPECT_EQ(lease.step(start), LeaseStep::Acquire);
-    lease.stored(lease.next(), 5, start);
+    lease.stored(lease.next(), {0, 5}, start);
     EXPECT_TRUE(lease.held(start + milliseconds(2999)));
     EXPECT_FALSE(lease.held(start + milliseconds(3000)));
 }
@@ -38,10 +38,10 @@
 TEST(PlacerLease, waitsForAnotherHoldersLeaseToExpire)
 {
     PlacerLease lease("a", "1");
-    lease.observed(LeaseRecord{"b", "1", 4}, 7, start);
+    lease.observed(LeaseRecord{"b", "1", 4}, {0, 7}, start);
     EXPECT_NE(lease.step(start + milliseconds(2999)), LeaseStep::Acquire);
     EXPECT_EQ(lease.step(start + milliseconds(3000)), LeaseStep::Acquire);
-    lease.observed(LeaseRecord{"b", "1", 5}, 8, start + milliseconds(3000));
+    lease.observed(LeaseRecord{"b", "1", 5}, {0, 8}, start + milliseconds(3000));
     EXPECT_NE(lease.step(start + milliseconds(5999)), LeaseStep::Acquire);
 }
 
@@ -49,23 +49,23 @@
 TEST(PlacerLease, staleReadIsIgnored)
 {
     PlacerLease lease("a", "1");
-    lease.observed(LeaseRecord{"b", "1", 5}, 8, start);
-    lease.observed(LeaseRecord{"b", "1", 4}, 7, start + milliseconds(1000));
-    EXPECT_EQ(lease.revision(), 8U);
+    lease.observed(LeaseRecord{"b", "1", 5}, {0, 8}, start);
+    lease.observed(LeaseRecord{"b", "1", 4}, {0, 7}, start + milliseconds(1000));
+    EXPECT_EQ(lease.revision(), (StoreRevision{0, 8}));
     EXPECT_EQ(lease.step(start + milliseconds(3000)), LeaseStep::Acquire);
 }
 
 TEST(PlacerLease, leaseOfThePreviousRunIsAcquiredAtOnce)
 {
     PlacerLease lease("a", "2");
-    lease.observed(LeaseRecord{"a", "1", 5}, 8, start);
+    lease.observed(LeaseRecord{"a", "1", 5}, {0, 8}, start);
     EXPECT_EQ(lease.step(start), LeaseStep::Acquire);
 }
 
 TEST(PlacerLease, releasedLeaseIsAcquiredAtOnce)
 {
     PlacerLease lease("a", "1");
-    lease.observed(LeaseRecord{"", "1", 5}, 8, start);
+    lease.observed(LeaseRecord{"", "1", 5}, {0, 8}, start);
     EXPECT_EQ(lease.step(start), LeaseStep::Acquire);
 }
 
@@ -77,7 +77,7 @@
     {
         std::size_t instance;
         LeaseRecord record;
-        std::uint64_t revision;
+        StoreRevision revision;
         TimePoint sentAt;
         TimePoint at;
         bool answerArrives;
@@ -87,8 +87,8 @@
     for (const char *name : {"a", "b", "c"})
         leases.emplace_back(name, "1");
     std::optional<LeaseRecord> stored;
-    std::uint64_t revision = 0;
-    std::vector<std::pair<std::optional<LeaseRecord>, std::uint64_t>> history{{stored, revision}};
+    StoreRevision revision;
+    std::vector<std::pair<std::optional<LeaseRecord>, StoreRevision>> history{{stored, revision}};
     std::vector<Pending> pending;
     for (TimePoint now = start; now < start + seconds(60); now += milliseconds(50)) {
         for (std::size_t index = 0; index < leases.size(); ++index) {
@@ -115,7 +115,8 @@
                 return false;
             if (write.revision == revision) {
                 stored = write.record;
-                history.emplace_back(stored, ++revision);
+                ++revision.number;
+                history.emplace_back(stored, revision);
                 if (write.answerArrives)
                     leases[write.instance].stored(write.record, revision, write.sentAt);
             } else if (write.answerArrives && !leases[write.instance].ours(*stored)) {
--- a/tests/gateway/test_shard_map.cpp
+++ b/tests/gateway/test_shard_map.cpp
@@ -60,7 +60,7 @@
     after.ranges[2].keys.first = 3000;
     after.ranges.insert(after.ranges.begin() + 2,
                         {{2000, 2999}, std::nullopt, Holder{"t4", 1, 13}});
-    const ShardDelta delta = shardDelta(before, after, 99);
+    const ShardDelta delta = shardDelta(before, after, {0, 99});
     EXPECT_EQ(delta.changed.size(), 3U);
     const Result<ShardDelta> read = decodeShardDelta(encodeShardDelta(delta));
     ASSERT_TRUE(read) << read.error();
@@ -77,7 +77,7 @@
     after.write = 8;
     after.ranges.erase(after.ranges.begin() + 1);
     after.ranges[0].keys.last = 1999;
-    const std::optional<ShardMap> applied = applyDelta(before, shardDelta(before, after, 99));
+    const std::optional<ShardMap> applied = applyDelta(before, shardDelta(before, after, {0, 99}));
     ASSERT_TRUE(applied);
     EXPECT_EQ(applied->ranges, after.ranges);
 }
@@ -88,7 +88,7 @@
     ShardMap after = before;
     after.write = 8;
     after.ranges[0].owner->fence = 20;
-    const ShardDelta delta = shardDelta(before, after, 99);
+    const ShardDelta delta = shardDelta(before, after, {0, 99});
     ShardMap older = before;
     older.write = 6;
     EXPECT_FALSE(applyDelta(older, delta));
--- a/tests/platform/test_extra_order_answers.cpp
+++ b/tests/platform/test_extra_order_answers.cpp
@@ -32,7 +32,7 @@
     [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
     {
         DesiredState state;
-        state.version = object.revision;
+        state.version = object.revision.number;
         Service service;
         service.name = "s";
         service.keyed = true;
@@ -52,10 +52,10 @@
         StoredObjects objects;
         objects.revision = m_revision;
         if (kind == ObjectKind::Settings)
-            objects.objects.push_back({"main", 1, false, nullptr, {}});
+            objects.objects.push_back({"main", {0, 1}, false, nullptr, {}});
         co_return objects;
     }
-    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, std::uint64_t revision,
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind /*kind*/, StoreRevision revision,
                                                  Duration wait, CancelSink onCancel) override
     {
         asio::steady_timer timer(m_loop, wait);
@@ -75,18 +75,18 @@
         co_return found->second;
     }
     asio::awaitable<WriteResult> put(ObjectKind kind, const std::string &name,
-                                     const std::string &text, std::uint64_t expected) override
+                                     const std::string &text, StoreRevision expected) override
     {
         StoredObject &object = m_objects[kind];
         if (object.revision != expected)
             co_return WriteResult{WriteEnd::Conflict, object};
-        object = {name, ++m_revision, false, nullptr, text};
+        object = {name, {0, ++m_revision.number}, false, nullptr, text};
         co_return WriteResult{WriteEnd::Stored, object};
     }
 
 private:
     asio::io_context &m_loop;
-    std::uint64_t m_revision = 7;
+    StoreRevision m_revision{0, 7};
     std::map<ObjectKind, StoredObject> m_objects;
 };
 
--- a/tests/platform/test_object_store.cpp
+++ b/tests/platform/test_object_store.cpp
@@ -21,6 +21,7 @@
 using gateway::asTuple;
 using gateway::ObjectKind;
 using gateway::StoredObjects;
+using gateway::StoreRevision;
 using gateway::tcp;
 
 /// A store that answers each call with the same body.
@@ -98,7 +99,7 @@
                                    std::string("[]"), std::string("null")}) {
         const auto listed = listOf(pageWith(odd));
         ASSERT_TRUE(listed && *listed) << odd.substr(0, 20);
-        EXPECT_EQ((*listed)->revision, 9U);
+        EXPECT_EQ((*listed)->revision, (StoreRevision{0, 9}));
         std::size_t usable = 0;
         for (const gateway::StoredObject &object : (*listed)->objects)
             usable += EntryCodec().target(object) ? 1 : 0;
--- a/tests/platform/test_peer_state.cpp
+++ b/tests/platform/test_peer_state.cpp
@@ -35,7 +35,7 @@
 
 StoredObject objectOf(const std::string &id, bool draining, std::uint64_t revision)
 {
-    return {id, revision, false, nullptr, draining ? "draining" : "ready"};
+    return {id, {0, revision}, false, nullptr, draining ? "draining" : "ready"};
 }
 
 /// One service; the text of an entry is its state.
@@ -49,7 +49,7 @@
     [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
     {
         DesiredState state;
-        state.version = object.revision;
+        state.version = object.revision.number;
         Service service;
         service.name = "s";
         state.services.emplace("s", service);
@@ -73,14 +73,14 @@
         if (kind == ObjectKind::Targets)
             objects.objects.push_back(target);
         if (kind == ObjectKind::Settings)
-            objects.objects.push_back({"main", 1, false, nullptr, {}});
+            objects.objects.push_back({"main", {0, 1}, false, nullptr, {}});
         for (const auto &[name, text] : instances) {
             if (kind == ObjectKind::Instances)
-                objects.objects.push_back({name, 2, false, nullptr, text});
+                objects.objects.push_back({name, {0, 2}, false, nullptr, text});
         }
         co_return objects;
     }
-    asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, std::uint64_t /*revision*/,
+    asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, StoreRevision /*revision*/,
                                                  Duration wait, CancelSink onCancel) override
     {
         ++watches[kind];
@@ -115,7 +115,7 @@
     }
     asio::awaitable<WriteResult> put(ObjectKind kind, const std::string & /*name*/,
                                      const std::string & /*text*/,
-                                     std::uint64_t /*revision*/) override
+                                     StoreRevision /*revision*/) override
     {
         // Another instance places keys.
         const auto end = kind == ObjectKind::Instances ? WriteEnd::Stored : WriteEnd::Refused;
@@ -123,7 +123,7 @@
     }
 
     bool silent = false;
-    std::uint64_t revision = 10;
+    StoreRevision revision{0, 10};
     StoredObject target = objectOf("t", false, 9);
     std::map<std::string, std::string> instances;
     std::deque<StoredObjects> changes; ///< Answers to the next watches of targets.
@@ -191,7 +191,8 @@
     SilentStore &store = instance.store;
     const nlohmann::json state{
         {"targets",
-         {{"revision", 30}, {"entries", nlohmann::json::array({encodeEntry(entryOf("t", true))})}}},
+         {{"revision", {0, 30}},
+          {"entries", nlohmann::json::array({encodeEntry(entryOf("t", true))})}}},
         {"maps", nlohmann::json::array()}};
     ScriptedTarget peer(instance.loop, [&](tcp::socket &socket, int, int) -> asio::awaitable<void> {
         const std::string body = state.dump();
@@ -212,10 +213,10 @@
 
     StoredObjects old;
     old.objects.push_back(objectOf("t", false, 12));
-    old.revision = 12;
+    old.revision = {0, 12};
     store.changes.push_back(old);
     store.target = objectOf("t", true, 30);
-    store.revision = 40;
+    store.revision = {0, 40};
     store.silent = false;
     const int lists = store.lists[ObjectKind::Targets];
     bool stayed = true;
@@ -236,7 +237,8 @@
     bool answered = false;
     const nlohmann::json state{
         {"targets",
-         {{"revision", 30}, {"entries", nlohmann::json::array({encodeEntry(entryOf("t", true))})}}},
+         {{"revision", {0, 30}},
+          {"entries", nlohmann::json::array({encodeEntry(entryOf("t", true))})}}},
         {"maps", nlohmann::json::array()}};
     ScriptedTarget peer(instance.loop, [&](tcp::socket &socket, int, int) -> asio::awaitable<void> {
         asked = true;
@@ -255,7 +257,7 @@
     ASSERT_TRUE(instance.runUntil([&] { return asked; }));
     StoredObjects newer;
     newer.objects.push_back(objectOf("t", false, 40));
-    newer.revision = 40;
+    newer.revision = {0, 40};
     store.changes.push_back(newer);
     store.silent = false;
     ASSERT_TRUE(instance.runUntil([&] { return answered; }));
@@ -279,7 +281,7 @@
     for (std::uint64_t index = 1; index <= answers; ++index) {
         StoredObjects cut;
         cut.objects.push_back(objectOf("t", index == answers, 10 + index));
-        cut.revision = 10 + index;
+        cut.revision = {0, 10 + index};
         cut.mayHaveMore = index < answers;
         store.changes.push_back(cut);
     }
