Pipelined requests of one connection run side by side

A request that may run only once runs alone. A timeout or a malformed request cuts no answer before it.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/request_flow.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -13,6 +15,9 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
+#include <deque>
+#include <optional>
 #include <utility>
 
 namespace yuccaspan::gateway {
@@ -52,11 +57,50 @@
     }
 }
 
+/// A request that was read, with its place among the answers of its connection.
+struct Exchange
+{
+    std::shared_ptr<Flow> flow; ///< Null for a request that was not read whole.
+    MessageMemory::Share memory; ///< Of the request.
+    std::optional<FlowResult> end; ///< Its answer, once there is one.
+    bool repeatable = true; ///< Whether further requests may run beside it.
+    bool keepAlive = true; ///< Whether the caller keeps the connection.
+    std::size_t ahead = 0; ///< Requests of the connection that were in progress when it was read.
+};
+
+/// Lets one coroutine wait for a change of the state around it.
+class ChangeSignal
+{
+public:
+    using Time = asio::steady_timer::time_point;
+
+    explicit ChangeSignal(asio::io_context &loop) : m_timer(loop) { }
+    asio::awaitable<void> wait(Time latest = Time::max())
+    {
+        m_timer.expires_at(latest);
+        co_await m_timer.async_wait(asTuple);
+    }
+    void notify() { m_timer.cancel(); }
+
+private:
+    asio::steady_timer m_timer;
+};
+
+/// One connection of a caller.
+///
+/// Requests are read ahead while those before them are in progress, up to a depth, and answered in
+/// the order of their arrival. A request that may run only once runs alone: one behind it could
+/// otherwise be answered while the caller has to send it again.
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
     Session(Gateway &gateway, tcp::socket socket)
-        : m_gateway(gateway), m_connections(gateway.callers), m_stream(std::move(socket))
+        : m_gateway(gateway),
+          m_connections(gateway.callers),
+          m_stream(std::move(socket)),
+          m_changed(gateway.loop),
+          m_readTimer(gateway.loop),
+          m_idleSince(std::chrono::steady_clock::now())
     {
         m_connections->opened();
         const int on = 1;
@@ -68,8 +112,12 @@
 
     asio::awaitable<void> run()
     {
-        while (co_await serveOne()) { }
+        while (co_await readNext()) { }
+        m_readsEnded = true;
+        while (!m_exchanges.empty())
+            co_await m_changed.wait();
         beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         if (m_linger)
             co_await discardInput();
@@ -78,40 +126,161 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
-    asio::awaitable<bool> serveOne()
+    /// Reads a request and starts to handle it.
+    /// \returns Whether a further one may follow.
+    asio::awaitable<bool> readNext()
     {
+        const CallerLimits limits = m_gateway.desired ? m_gateway.desired->limits : CallerLimits{};
+        if (!co_await waitForRequest(limits.idleTimeout))
+            co_return false;
+        const auto exchange = std::make_shared<Exchange>();
+        exchange->memory = m_gateway.bodies->share(BodyOwner::Request);
         Parser parser;
-        MessageMemory::Share memory = m_gateway.bodies->share(BodyOwner::Request);
-        if (!co_await read(parser, memory))
+        m_reading = true;
+        bool mayRun = co_await read(parser, exchange->memory, limits);
+        if (mayRun) {
+            prepare(*exchange, parser.release());
+            if (!exchange->repeatable)
+                mayRun = co_await untilAnswered();
+        }
+        m_reading = false;
+        if (!mayRun)
             co_return false;
         ++m_gateway.active;
-        const bool keepOpen = co_await handleRequest(parser.release());
-        --m_gateway.active;
-        co_return keepOpen;
+        exchange->ahead = m_exchanges.size();
+        if (exchange->ahead > 0)
+            m_gateway.metrics.count("pipelined", "read-ahead");
+        m_exchanges.push_back(exchange);
+        asio::co_spawn(m_gateway.loop, handle(shared_from_this(), exchange), asio::detached);
+        co_return exchange->keepAlive;
     }
 
-    asio::awaitable<bool> read(Parser &parser, MessageMemory::Share &memory)
+    /// Waits until all requests that were read are answered.
+    /// \returns False if the connection ends before.
+    asio::awaitable<bool> untilAnswered()
+    {
+        while (!m_exchanges.empty())
+            co_await m_changed.wait();
+        co_return !m_callerGone && !m_closing;
+    }
+
+    /// Whether the next request may be read while others are in progress.
+    [[nodiscard]] bool mayReadAhead() const
+    {
+        if (m_exchanges.empty())
+            return true;
+        std::size_t held = 0;
+        for (const std::shared_ptr<Exchange> &exchange : m_exchanges)
+            held += exchange->end ? exchange->end->response.body().size() : 0;
+        return m_exchanges.size() < m_gateway.options.pipelineDepth
+            && held < m_gateway.options.pipelineBytes && m_exchanges.back()->repeatable;
+    }
+
+    /// Waits for the first bytes of a request that may be read.
+    /// \returns False if the connection ends instead.
+    asio::awaitable<bool> waitForRequest(Duration idleTimeout)
+    {
+        while (true) {
+            if (m_callerGone || m_closing)
+                co_return false;
+            const bool idle = m_exchanges.empty();
+            const bool input = m_buffer.size() != 0 || m_inputReady;
+            if (input && mayReadAhead())
+                co_return true;
+            if (idle && m_gateway.closingCallers && !hasInput()) {
+                m_linger = true;
+                co_return false;
+            }
+            if (!input)
+                watchInput();
+            const auto latest = idle ? m_idleSince + idleTimeout : ChangeSignal::Time::max();
+            const auto pending =
+                m_connections->reading(ReadPhase::Idle, [this] { m_changed.notify(); });
+            co_await m_changed.wait(latest);
+            if (idle && !m_inputReady && std::chrono::steady_clock::now() >= latest)
+                co_return false;
+        }
+    }
+
+    /// Waits in the background for further bytes or the end of the connection.
+    void watchInput()
+    {
+        if (std::exchange(m_watching, true))
+            return;
+        m_stream.socket().async_wait(tcp::socket::wait_read,
+                                     [self = shared_from_this()](beast::error_code failure) {
+                                         self->m_watching = false;
+                                         if (failure)
+                                             return;
+                                         if (self->callerClosed())
+                                             self->abandon();
+                                         else
+                                             self->m_inputReady = true;
+                                         self->m_changed.notify();
+                                     });
+    }
+
+    /// Ends the requests of a caller that has left, but for those that may have run.
+    void abandon()
+    {
+        m_callerGone = true;
+        for (const std::shared_ptr<Exchange> &exchange : m_exchanges) {
+            if (exchange->end || exchange->flow == nullptr)
+                continue;
+            Flow &flow = *exchange->flow;
+            flow.callerGone = true;
+            const bool mayStop = exchange->repeatable || flow.sends == 0;
+            if (flow.cancel && mayStop)
+                flow.cancel();
+        }
+    }
+
+    asio::awaitable<bool> read(Parser &parser, MessageMemory::Share &memory,
+                               const CallerLimits &limits)
     {
-        const CallerLimits limits = m_gateway.desired ? m_gateway.desired->limits : CallerLimits{};
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         // Also limits lines in chunked bodies.
         m_buffer.max_size(limits.headerBytes + readBytes);
-        if (m_buffer.size() == 0 && !co_await waitForData(limits.idleTimeout))
-            co_return false;
-        const auto pending =
-            m_connections->reading(ReadPhase::Request, [this] { m_stream.cancel(); });
-        m_stream.expires_after(limits.headerTimeout);
+        m_inputReady = false;
+        const auto pending = m_connections->reading(ReadPhase::Request, [this] { cancelRead(); });
+        m_readCancelled = false;
+        limitRead(limits.headerTimeout);
         const auto [headFailure, headBytes] =
             co_await http::async_read_header(m_stream, m_buffer, parser, asTuple);
         if (headFailure)
             co_return co_await rejectUnread(headFailure);
         if (parser.get()[http::field::expect] == "100-continue") {
+            if (!co_await untilAnswered())
+                co_return false;
             http::response<http::empty_body> proceed(http::status::continue_, httpVersion11);
             co_await http::async_write(m_stream, proceed, asTuple);
         }
-        m_stream.expires_after(limits.idleTimeout);
-        co_return co_await readBody(parser, memory);
+        limitRead(limits.idleTimeout);
+        const bool whole = co_await readBody(parser, memory);
+        m_readTimer.cancel();
+        co_return whole;
+    }
+
+    /// Limits the time of a read. The timer of the stream would close the connection, and requests
+    /// before this one may still have to be answered.
+    void limitRead(Duration longest)
+    {
+        m_stream.expires_never();
+        m_readTimer.expires_after(longest);
+        m_readTimer.async_wait([self = shared_from_this()](beast::error_code failure) {
+            const bool due = self->m_readTimer.expiry() <= std::chrono::steady_clock::now();
+            if (!failure && self->m_reading && due)
+                self->cancelRead();
+        });
+    }
+
+    /// Cancels a read; an answer that is being written goes on.
+    void cancelRead()
+    {
+        m_readCancelled = true;
+        if (!m_writing)
+            m_stream.cancel();
     }
 
     asio::awaitable<bool> readBody(Parser &parser, MessageMemory::Share &memory)
@@ -119,7 +288,7 @@
         bool fits = true;
         memory.setGiveUp([this, &fits] {
             fits = false;
-            m_stream.cancel();
+            cancelRead();
         });
         parser.eager(true);
         beast::error_code failure;
@@ -139,28 +308,6 @@
                                             EndReason::NoMemory, noMemoryRetryDelay));
     }
 
-    /// Waits for the next request; returns false if there is none and the instance stops.
-    asio::awaitable<bool> waitForData(Duration longest)
-    {
-        while (true) {
-            if (m_gateway.closingCallers && !hasInput()) {
-                m_linger = true;
-                co_return false;
-            }
-            const auto pending =
-                m_connections->reading(ReadPhase::Idle, [this] { m_stream.cancel(); });
-            m_stream.expires_after(longest);
-            const auto [failure, bytes] =
-                co_await m_stream.async_read_some(m_buffer.prepare(readBytes), asTuple);
-            m_buffer.commit(bytes);
-            if (!failure)
-                co_return true;
-            const bool cancelled = failure == asio::error::operation_aborted;
-            if (!cancelled || !m_gateway.closingCallers)
-                co_return false;
-        }
-    }
-
     /// Whether bytes of a further request have arrived.
     [[nodiscard]] bool hasInput()
     {
@@ -188,6 +335,7 @@
     /// since the instance stops. Other read failures get no response.
     asio::awaitable<bool> rejectUnread(beast::error_code failure)
     {
+        m_readTimer.cancel();
         if (failure == asio::error::operation_aborted && m_gateway.stopping) {
             m_gateway.metrics.count("unread-request", toString(EndReason::Stopping));
             co_return co_await reject(ownAnswer(m_gateway, http::status::service_unavailable,
@@ -201,77 +349,103 @@
         const bool malformed =
             failure.category() == make_error_code(http::error::bad_method).category()
             && failure != http::error::end_of_stream && failure != http::error::partial_message;
-        if (!malformed)
+        if (!malformed) {
+            if (failure != asio::error::operation_aborted)
+                abandon();
             co_return false;
+        }
         m_gateway.metrics.count("bad-request", failure.message());
         co_return co_await reject(HttpResponse(status, httpVersion11));
     }
 
-    /// Sends a response to a request that was not read whole, and ends the connection.
+    /// Answers a request that was not read whole, after those before it, and ends the connection.
     asio::awaitable<bool> reject(HttpResponse response)
     {
-        response.keep_alive(false);
-        response.prepare_payload();
-        m_stream.expires_after(writeTimeout);
-        co_await http::async_write(m_stream, response, asTuple);
-        m_linger = true;
+        const auto exchange = std::make_shared<Exchange>();
+        exchange->keepAlive = false;
+        exchange->end = FlowResult{EndReason::Answered, std::move(response), {}};
+        m_exchanges.push_back(exchange);
+        co_await writeAnswers();
         co_return false;
     }
 
-    asio::awaitable<bool> handleRequest(HttpRequest request)
+    /// Reads from a request what decides how it is handled.
+    void prepare(Exchange &exchange, HttpRequest request)
     {
         const auto flow = std::make_shared<Flow>();
-        const bool keepAlive = request.keep_alive();
+        exchange.keepAlive = request.keep_alive();
         flow->arrived = m_gateway.now();
         flow->facts = m_gateway.protocol.readCaller(request);
         flow->request = std::move(request);
-        FlowResult end = co_await route(flow);
-        record(*flow, end);
-        if (flow->callerGone)
-            co_return false;
-        co_return co_await answer(std::move(end), keepAlive);
+        if (m_gateway.informed()) {
+            flow->state = m_gateway.desired;
+            const std::string_view target = flow->request.target();
+            const std::string_view path = target.substr(0, target.find('?'));
+            flow->route = m_gateway.routes.find(flow->request[http::field::host], path);
+            exchange.repeatable = flow->route == nullptr || flow->route->idempotent;
+        }
+        exchange.flow = flow;
+    }
+
+    static asio::awaitable<void> handle(std::shared_ptr<Session> self,
+                                        std::shared_ptr<Exchange> exchange)
+    {
+        exchange->end = co_await self->route(exchange->flow);
+        exchange->end->memory.setGiveUp([session = self.get()] { session->m_stream.close(); });
+        self->record(*exchange, *exchange->end);
+        co_await self->writeAnswers();
+    }
+
+    /// Writes the answers that are due, in the order of their requests.
+    asio::awaitable<void> writeAnswers()
+    {
+        if (std::exchange(m_writing, true))
+            co_return;
+        while (!m_exchanges.empty() && m_exchanges.front()->end) {
+            const std::shared_ptr<Exchange> exchange = m_exchanges.front();
+            if (!m_callerGone && !co_await answer(*exchange))
+                abandon();
+            m_exchanges.pop_front();
+            if (exchange->flow != nullptr)
+                --m_gateway.active;
+        }
+        m_writing = false;
+        if (m_reading && m_readCancelled)
+            m_stream.cancel();
+        m_idleSince = std::chrono::steady_clock::now();
+        m_changed.notify();
     }
 
     asio::awaitable<FlowResult> route(const std::shared_ptr<Flow> &flow)
     {
-        if (!m_gateway.informed()) {
+        if (!flow->state) {
             constexpr Duration startupRetryDelay = std::chrono::milliseconds(300);
-            co_return FlowResult{EndReason::NotReady,
-                                 ownAnswer(m_gateway, http::status::service_unavailable,
-                                           EndReason::NotReady, startupRetryDelay),
-                                 {}};
-        }
-        flow->state = m_gateway.desired;
-        const std::string_view target = flow->request.target();
-        const std::string_view path = target.substr(0, target.find('?'));
-        flow->route = m_gateway.routes.find(flow->request[http::field::host], path);
-        if (flow->route == nullptr) {
-            co_return FlowResult{EndReason::NoRoute,
-                                 ownAnswer(m_gateway, http::status::not_found, EndReason::NoRoute),
-                                 {}};
+            co_return refusal(http::status::service_unavailable, EndReason::NotReady,
+                              startupRetryDelay);
         }
+        if (flow->route == nullptr)
+            co_return refusal(http::status::not_found, EndReason::NoRoute, {});
         Duration allowed = flow->facts.deadline.value_or(defaultDeadline);
         if (flow->route->timeout > Duration::zero())
             allowed = std::min(allowed, flow->route->timeout);
         flow->deadline = flow->arrived + allowed;
-        if (m_gateway.mayOutlastStop(flow->deadline)) {
-            co_return FlowResult{EndReason::Stopping,
-                                 ownAnswer(m_gateway, http::status::service_unavailable,
-                                           EndReason::Stopping, stoppingRetryDelay),
-                                 {}};
-        }
+        if (m_gateway.mayOutlastStop(flow->deadline))
+            co_return refusal(http::status::service_unavailable, EndReason::Stopping,
+                              stoppingRetryDelay);
         flow->urgency = {flow->route->priority, flow->arrived + flow->route->latencyTarget};
         flow->service = m_gateway.dealer.next(*flow->route);
         eraseConnectionFields(flow->request);
         flow->request.keep_alive(true);
         flow->request.prepare_payload();
-        watchForDisconnect(flow);
-        FlowResult end = co_await runFlow(m_gateway, flow);
-        if (!flow->callerGone) {
-            beast::error_code ignored;
-            m_stream.socket().cancel(ignored);
-        }
-        co_return end;
+        flow->callerClosed = [self = shared_from_this()] { return self->callerClosed(); };
+        co_return co_await runFlow(m_gateway, flow);
+    }
+
+    /// An answer of the gateway to a request that it passes on to no target.
+    [[nodiscard]] FlowResult refusal(http::status status, EndReason reason,
+                                     Duration retryDelay) const
+    {
+        return {reason, ownAnswer(m_gateway, status, reason, retryDelay), {}};
     }
 
     [[nodiscard]] bool callerClosed()
@@ -282,41 +456,32 @@
         return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
-    /// Detects that the caller closes its connection while its request is in progress.
-    void watchForDisconnect(const std::shared_ptr<Flow> &flow)
-    {
-        m_stream.expires_never();
-        const auto self = shared_from_this();
-        flow->callerClosed = [self] { return self->callerClosed(); };
-        m_stream.socket().async_wait(
-            tcp::socket::wait_read, [self, flow](beast::error_code failure) {
-                if (failure || !self->callerClosed())
-                    return;
-                flow->callerGone = true;
-                const bool mayStop = flow->route->idempotent || flow->sends == 0;
-                if (flow->cancel && mayStop)
-                    flow->cancel();
-            });
-    }
-
-    asio::awaitable<bool> answer(FlowResult end, bool keepAlive)
+    /// Writes an answer.
+    /// \returns False if the caller can't be reached.
+    asio::awaitable<bool> answer(Exchange &exchange)
     {
+        FlowResult &end = *exchange.end;
         HttpResponse &response = end.response;
-        end.memory.setGiveUp([this] { m_stream.close(); });
         eraseConnectionFields(response);
         response.version(httpVersion11);
         // A further request that has arrived is answered too, since its caller sees it as read.
-        const bool keepOpen = keepAlive && (!m_gateway.stopping || hasInput());
-        m_linger = keepAlive && !keepOpen;
+        const bool more = m_exchanges.size() > 1 || m_reading || hasInput();
+        const bool keepOpen = exchange.keepAlive
+            && (m_readsEnded ? m_exchanges.size() > 1 : !m_gateway.stopping || more);
+        if (!keepOpen) {
+            m_closing = true;
+            m_linger = exchange.keepAlive || exchange.flow == nullptr;
+        }
         response.keep_alive(keepOpen);
         response.prepare_payload();
         m_stream.expires_after(writeTimeout);
         const auto [failure, bytes] = co_await http::async_write(m_stream, response, asTuple);
-        co_return !failure && keepOpen;
+        co_return !failure;
     }
 
-    void record(const Flow &flow, const FlowResult &end)
+    void record(const Exchange &exchange, const FlowResult &end)
     {
+        const Flow &flow = *exchange.flow;
         const TimePoint now = m_gateway.now();
         const std::string route = flow.route != nullptr ? flow.route->name : "none";
         m_gateway.metrics.request(route, toString(end.reason), now - flow.arrived);
@@ -331,6 +496,8 @@
                               {"tookMs", Milliseconds(now - flow.arrived).count()},
                               {"status", end.response.result_int()},
                               {"reason", toString(end.reason)}};
+        if (exchange.ahead > 0)
+            fields["ahead"] = exchange.ahead;
         if (flow.sentCold) {
             fields["cold"] = true;
             fields["instances"] = m_gateway.share.instances;
@@ -349,6 +516,18 @@
     const std::shared_ptr<CallerConnections> m_connections;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    std::deque<std::shared_ptr<Exchange>> m_exchanges; ///< Not answered yet, in order of arrival.
+    ChangeSignal m_changed; ///< For the reading coroutine.
+    asio::steady_timer m_readTimer; ///< Limits the time to read a request.
+    ChangeSignal::Time m_idleSince; ///< When the last answer was written.
+    bool m_watching = false; ///< Whether a wait for input is pending.
+    bool m_inputReady = false; ///< Whether that wait found unread bytes.
+    bool m_reading = false; ///< Whether a request is being read or waits for those before it.
+    bool m_readCancelled = false; ///< Whether the read ends as soon as no answer is written.
+    bool m_readsEnded = false; ///< Whether no further request is read.
+    bool m_writing = false; ///< Whether an answer is being written.
+    bool m_callerGone = false; ///< Whether the caller has left.
+    bool m_closing = false; ///< Whether an answer said that the connection closes.
     bool m_linger = false; ///< Whether to wait for the caller to close the connection.
 };
 
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -6,7 +6,7 @@
 
 namespace yuccaspan::gateway {
 
-/// \brief Serves requests sequentially until the connection ends.
+/// \brief Serves requests until the connection ends; answers leave in the order of the requests.
 [[nodiscard]] asio::awaitable<void> serveCaller(Gateway &gateway, tcp::socket socket);
 
 } // namespace yuccaspan::gateway
--- a/tests/platform/serving_instance.hpp
+++ b/tests/platform/serving_instance.hpp
@@ -104,6 +104,8 @@
         const auto kept = std::make_shared<std::string>(std::move(text));
         asio::async_write(m_socket, asio::buffer(*kept), [kept](beast::error_code, std::size_t) {});
     }
+    /// Closes the connection.
+    void leave() { m_socket.close(); }
     /// Received bytes.
     [[nodiscard]] const std::string &received() const { return m_received; }
     /// How often a text was received.
