Workspaces: callers are known by their keys

Where the desired state has workspaces, a request on a route that isn't anonymous needs a key: an unknown one gets 401. The target gets the workspace's name in place of the key, whatever the caller sent. The workspace's priority goes before that of the route. Keys are found by a seeded hash and compared in constant time, and are neither logged nor passed on.

Allowances: a token bucket in each instance with an equal part; beyond it 429 with the time until there is room.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/caller_session.hpp"
 
 #include "gateway/request_flow.hpp"
+#include "gateway/workspaces/caller_admission.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -432,7 +433,10 @@
         if (m_gateway.mayOutlastStop(flow->deadline))
             co_return refusal(http::status::service_unavailable, EndReason::Stopping,
                               stoppingRetryDelay);
-        flow->urgency = {flow->route->priority, flow->arrived + flow->route->latencyTarget};
+        flow->priority = flow->route->priority;
+        if (const std::optional<Rejection> rejection = admitCaller(m_gateway, *flow))
+            co_return refusal(rejection->status, rejection->reason, rejection->retryDelay);
+        flow->urgency = {flow->priority, flow->arrived + flow->route->latencyTarget};
         flow->service = m_gateway.dealer.next(*flow->route);
         eraseConnectionFields(flow->request);
         flow->request.keep_alive(true);
@@ -496,6 +500,8 @@
                               {"tookMs", Milliseconds(now - flow.arrived).count()},
                               {"status", end.response.result_int()},
                               {"reason", toString(end.reason)}};
+        if (flow.workspace != nullptr)
+            fields["workspace"] = flow.workspace->name;
         if (exchange.ahead > 0)
             fields["ahead"] = exchange.ahead;
         if (flow.sentCold) {
--- a/src/gateway/desired_state.hpp
+++ b/src/gateway/desired_state.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,9 +35,20 @@
     Duration latencyTarget{}; ///< Latency up to which an answer has its full worth.
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     std::uint32_t maxAttempts = 1; ///< Maximum number of targets that a request is sent to.
+    bool anonymous = false; ///< Whether requests need no key of a workspace.
     std::vector<WeightedService> services; ///< At least one.
 };
 
+/// \brief A workspace, whose callers are known by their keys.
+struct Workspace
+{
+    std::string name; ///< Unique among the workspaces.
+    std::vector<std::string> keys; ///< Secret; a key belongs to one workspace.
+    std::optional<std::uint32_t> priority; ///< Takes precedence over that of the route.
+    double perSecond = 0; ///< Most requests a second, at all instances together; 0: no limit.
+    double burst = 0; ///< Further requests after a pause.
+};
+
 /// \brief A service and the limits of its targets.
 struct Service
 {
@@ -63,6 +75,7 @@
     std::vector<Route> routes;
     std::map<std::string, Service, std::less<>> services;
     CallerLimits limits;
+    std::vector<Workspace> workspaces; ///< If empty, requests need no key.
 
     /// \brief The service of that name, or null.
     [[nodiscard]] const Service *findService(std::string_view name) const noexcept;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -173,6 +173,8 @@
 {
     desired = std::move(state);
     routes = RouteIndex(*desired);
+    keys = KeyTable::create(*desired, keySeed);
+    configureAllowances();
     for (auto &[name, service] : services) {
         const Service *known = desired->findService(name);
         if (known != nullptr && known->keyed && service.load == nullptr)
@@ -209,12 +211,22 @@
     instancesKnown = true;
     share.instances = static_cast<std::uint32_t>(known.size());
     share.rank = static_cast<std::uint32_t>(std::distance(known.begin(), known.find(options.name)));
+    configureAllowances();
     for (auto &[name, service] : services)
         service.budget.configure(options.repeatRatio, options.repeatSlack, share.instances);
     for (auto &[id, target] : live)
         configure(*target);
 }
 
+void Gateway::configureAllowances()
+{
+    if (!desired)
+        return;
+    const double part = 1.0 / std::max(share.instances, 1U);
+    for (const Workspace &workspace : desired->workspaces)
+        allowances[workspace.name].configure({workspace.perSecond, workspace.burst}, part, now());
+}
+
 void Gateway::wakeAll()
 {
     const DutyTimer timer(*this, Duty::Wake);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -15,11 +15,14 @@
 #include "gateway/shard_map.hpp"
 #include "gateway/shared_rate.hpp"
 #include "gateway/waiting_lane.hpp"
+#include "gateway/workspaces/allowance.hpp"
+#include "gateway/workspaces/key_table.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -96,6 +99,8 @@
     TargetDirectory directory;
     std::shared_ptr<const DesiredState> desired;
     RouteIndex routes;
+    KeyTable keys; ///< Of the desired state.
+    std::map<std::string, Allowance, std::less<>> allowances; ///< By workspace.
     WeightedDealer dealer;
     std::map<std::string, KnownShardMap, std::less<>> shardMaps;
     std::map<std::string, std::shared_ptr<LiveTarget>, std::less<>> live;
@@ -117,6 +122,7 @@
         false; ///< Until then, this instance's parts of shared limits are too large.
     bool shardMapsStale =
         false; ///< A target did not hold a key, or a change of a shard map was missed.
+    const std::uint64_t keySeed = std::random_device{}(); ///< Of the table of keys.
     const std::shared_ptr<CallerConnections> callers = std::make_shared<CallerConnections>();
     std::uint64_t active = 0; ///< Requests that were read and not yet answered.
 
@@ -159,6 +165,8 @@
     void learnPause(LiveTarget &target, Duration pause, AnswerSource source);
     /// \brief Applies the rate that a target named to its gate.
     void applyNamedRate(LiveTarget &target) const;
+    /// \brief Sets this instance's parts of the workspaces' allowances.
+    void configureAllowances();
     /// \brief Drops the local state of removed targets.
     void forgetTargets();
 };
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace yuccaspan::gateway {
@@ -100,6 +101,7 @@
     std::string requestId;
     std::optional<Duration> deadline; ///< How long the caller will wait.
     std::optional<std::uint32_t> key; ///< Key number.
+    std::string credential; ///< The caller's key of a workspace; empty if it sent none. Secret.
 };
 
 /// \brief Facts from the headers of a response.
@@ -127,6 +129,9 @@
     [[nodiscard]] virtual CallerFacts readCaller(const HttpRequest &request) const = 0;
     /// \brief Sets the headers of a request to a target.
     virtual void address(HttpRequest &request, Duration left, const std::string &target) const = 0;
+    /// \brief Replaces the caller's credential by the name of its workspace.
+    /// \param workspace Empty for a caller without one.
+    virtual void identify(HttpRequest &request, std::string_view workspace) const = 0;
     [[nodiscard]] virtual AnswerFacts readAnswer(const HttpResponse &response) const = 0;
     [[nodiscard]] virtual HttpRequest order(const ShardOrder &order) const = 0;
     [[nodiscard]] virtual std::string handover(const HttpResponse &response) const = 0;
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -22,6 +22,8 @@
     OwnerLeaves, ///< The owner of the key is leaving and may get no new requests.
     TargetPaused, ///< The target asked for no requests for a time.
     TargetLost, ///< The target cannot be reached.
+    UnknownKey, ///< No workspace holds the caller's key.
+    OverAllowance, ///< The workspace has used up its allowance.
     Overloaded, ///< The request would miss its deadline, or missed it while waiting.
     TargetFull, ///< The target rejected the request and no retry is allowed.
     Misdirected, ///< The target does not hold the key and no retry is allowed.
@@ -43,6 +45,8 @@
     std::string service;
     TimePoint arrived;
     TimePoint deadline; ///< The earlier of the caller's and the route's deadline.
+    const Workspace *workspace = nullptr; ///< Of the caller; null without a key.
+    std::uint32_t priority = 0; ///< Of the workspace or else the route; 0 is the most urgent.
     Urgency urgency; ///< Its order among waiting requests.
     bool callerGone = false;
     std::function<bool()> callerClosed; ///< Checks whether the caller has closed its connection.
@@ -82,7 +86,7 @@
 struct yuccaspan::EnumNames<yuccaspan::gateway::EndReason>
 {
     using Reason = yuccaspan::gateway::EndReason;
-    static constexpr std::array<EnumName<Reason>, 17> table{{
+    static constexpr std::array<EnumName<Reason>, 19> table{{
         {Reason::Answered, "answered"},
         {Reason::NotReady, "not-ready"},
         {Reason::NoRoute, "no-route"},
@@ -92,6 +96,8 @@
         {Reason::OwnerLeaves, "owner-leaves"},
         {Reason::TargetPaused, "target-paused"},
         {Reason::TargetLost, "target-lost"},
+        {Reason::UnknownKey, "unknown-key"},
+        {Reason::OverAllowance, "over-allowance"},
         {Reason::Overloaded, "overloaded"},
         {Reason::TargetFull, "target-full"},
         {Reason::Misdirected, "misdirected"},
--- a/tests/gateway/control_doubles.hpp
+++ b/tests/gateway/control_doubles.hpp
@@ -28,6 +28,7 @@
     void address(HttpRequest & /*request*/, Duration /*left*/,
                  const std::string & /*target*/) const override
     { }
+    void identify(HttpRequest & /*request*/, std::string_view /*workspace*/) const override { }
     [[nodiscard]] AnswerFacts readAnswer(const HttpResponse & /*response*/) const override
     {
         return {};
--- a/tests/platform/test_entry_codec.cpp
+++ b/tests/platform/test_entry_codec.cpp
@@ -142,6 +142,30 @@
     EXPECT_EQ(state->limits.idleTimeout, seconds(15));
 }
 
+TEST(EntryCodec, readsWorkspaces)
+{
+    json body = desiredState();
+    EXPECT_TRUE(EntryCodec().desiredState(object(body))->workspaces.empty());
+    body["spec"]["routes"][1]["anonymous"] = true;
+    body["spec"]["tenants"] = {{{"name", "w"},
+                                {"api_keys", {"k1", "k2"}},
+                                {"priority", 1},
+                                {"rate_per_s", 335},
+                                {"burst", 20}},
+                               {{"name", "v"}, {"api_keys", json::array()}}};
+    const auto state = EntryCodec().desiredState(object(body));
+    ASSERT_TRUE(state) << state.error();
+    EXPECT_FALSE(state->routes[0].anonymous);
+    EXPECT_TRUE(state->routes[1].anonymous);
+    ASSERT_EQ(state->workspaces.size(), 2U);
+    EXPECT_EQ(state->workspaces[0].keys, (std::vector<std::string>{"k1", "k2"}));
+    EXPECT_EQ(state->workspaces[0].priority, 1U);
+    EXPECT_EQ(state->workspaces[0].perSecond, 335);
+    EXPECT_EQ(state->workspaces[0].burst, 20);
+    EXPECT_FALSE(state->workspaces[1].priority);
+    EXPECT_EQ(state->workspaces[1].perSecond, 0);
+}
+
 TEST(EntryCodec, rejectsAnInvalidDesiredState)
 {
     json body = desiredState();
--- a/tests/platform/test_target_protocol.cpp
+++ b/tests/platform/test_target_protocol.cpp
@@ -39,6 +39,35 @@
     EXPECT_EQ(request["X-Expected-Instance"], "t1");
 }
 
+TEST(TargetProtocol, readsTheKeyOfAWorkspace)
+{
+    const auto credentialIn = [](const char *field) {
+        HttpRequest request;
+        request.set("Authorization", field);
+        return HttpTargetProtocol().readCaller(request).credential;
+    };
+    EXPECT_EQ(credentialIn("Bearer k1"), "k1");
+    EXPECT_EQ(credentialIn("bearer  k1 "), "k1");
+    EXPECT_EQ(credentialIn("Basic k1"), "");
+    EXPECT_EQ(credentialIn("Bearer"), "");
+    EXPECT_EQ(HttpTargetProtocol().readCaller(HttpRequest()).credential, "");
+}
+
+/// Targets got the keys of callers, and the names of workspaces that callers had made up.
+TEST(TargetProtocol, replacesTheKeyByTheWorkspace)
+{
+    HttpRequest request;
+    request.set("Authorization", "Bearer k1");
+    request.insert("X-Tenant-Id", "forged");
+    request.insert("x-tenant-id", "forged too");
+    HttpTargetProtocol().identify(request, "w");
+    EXPECT_EQ(request.count("X-Tenant-Id"), 1U);
+    EXPECT_EQ(request["X-Tenant-Id"], "w");
+    EXPECT_EQ(request.count("Authorization"), 0U);
+    HttpTargetProtocol().identify(request, {});
+    EXPECT_EQ(request.count("X-Tenant-Id"), 0U);
+}
+
 TEST(TargetProtocol, readsResponseHeadersOfTargets)
 {
     HttpResponse response(http::status::service_unavailable, 11);
