A caller that leaves is noticed also while it is the last on its connection

A connection whose caller sends Connection: close, or whose next request waits for those before it, was no longer watched.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -116,7 +116,7 @@
         while (co_await readNext()) { }
         m_readsEnded = true;
         while (!m_exchanges.empty())
-            co_await m_changed.wait();
+            co_await waitForChange();
         beast::error_code ignored;
         m_stream.socket().cancel(ignored);
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -161,7 +161,7 @@
     asio::awaitable<bool> untilAnswered()
     {
         while (!m_exchanges.empty())
-            co_await m_changed.wait();
+            co_await waitForChange();
         co_return !m_callerGone && !m_closing;
     }
 
@@ -192,17 +192,23 @@
                 m_linger = true;
                 co_return false;
             }
-            if (!input)
-                watchInput();
             const auto latest = idle ? m_idleSince + idleTimeout : ChangeSignal::Time::max();
             const auto pending =
                 m_connections->reading(ReadPhase::Idle, [this] { m_changed.notify(); });
-            co_await m_changed.wait(latest);
+            co_await waitForChange(latest);
             if (idle && !m_inputReady && std::chrono::steady_clock::now() >= latest)
                 co_return false;
         }
     }
 
+    /// Waits until something changes: an answer is written, bytes arrive or the caller leaves.
+    asio::awaitable<void> waitForChange(ChangeSignal::Time latest = ChangeSignal::Time::max())
+    {
+        if (m_buffer.size() == 0 && !m_inputReady)
+            watchInput();
+        co_await m_changed.wait(latest);
+    }
+
     /// Waits in the background for further bytes or the end of the connection.
     void watchInput()
     {
--- a/tests/platform/test_pipelining.cpp
+++ b/tests/platform/test_pipelining.cpp
@@ -126,6 +126,20 @@
     EXPECT_EQ(m_gateway->callers->open(), 0U);
 }
 
+/// Seen as GONE: the connection of a caller that says it closes was no longer watched.
+TEST_F(Pipelining, aCallerThatClosesAfterItsRequestIsNoticedToo)
+{
+    const auto caller = connect();
+    caller->send("GET /3000 HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Deadline-Ms: 5000\r\n"
+                 "Connection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return m_target.got("a"); }));
+    caller->leave();
+    const auto end = std::chrono::steady_clock::now() + milliseconds(1500);
+    EXPECT_TRUE(runUntil(
+        [&] { return m_gateway->active == 0 || std::chrono::steady_clock::now() >= end; }));
+    EXPECT_EQ(m_gateway->active, 0U);
+}
+
 TEST_F(Pipelining, aMalformedRequestIsRejectedAfterTheAnswersBeforeIt)
 {
     const auto caller = connect();
