--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -46,6 +46,7 @@
         std::chrono::seconds(5); ///< Time until an evacuated zone gets no more requests.
     Duration stopWithin = std::chrono::seconds(6); ///< From SIGTERM to the end of the process.
     Duration maxHold = std::chrono::seconds(10); ///< Longest grant that targets accept.
+    bool competingCallers = false; ///< Whether callers often compete for too little room.
     std::size_t pipelineDepth = 1; ///< Requests of one connection that are in progress at a time.
     std::size_t pipelineBytes = 262144; ///< Answers that wait on a connection before reading stops.
     std::size_t bodyMemory = defaultBodyMemory(); ///< For all buffered bodies together, in bytes.
--- a/tests/platform/test_target_protocol.cpp
+++ b/tests/platform/test_target_protocol.cpp
@@ -186,6 +186,18 @@
     EXPECT_EQ(settings->storeAddress, "10.0.0.2:83");
 }
 
+TEST(NodeSettings, pipelinesOnlyUnderItsContract)
+{
+    auto root = nlohmann::json::parse(settingsText);
+    root["pipelineDepth"] = 8;
+    EXPECT_EQ(readNodeSettings(root.dump())->gateway.pipelineDepth, 1U);
+    root["contracts"] = {"base", "pressure"};
+    EXPECT_EQ(readNodeSettings(root.dump())->gateway.pipelineDepth, 8U);
+    EXPECT_TRUE(readNodeSettings(root.dump())->gateway.competingCallers);
+    root["pipelineDepth"] = 0;
+    EXPECT_EQ(readNodeSettings(root.dump()).error().place.pointer, "/pipelineDepth");
+}
+
 TEST(NodeSettings, areValidated)
 {
     auto root = nlohmann::json::parse(settingsText);
