A caller whose leaving the flow notices first gets no answer

Found by reading: the empty result of such a flow would have been written as a response, to a caller that may have closed only its sending side. Before pipelining the session ended there; now again.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -410,7 +410,9 @@
             co_return;
         while (!m_exchanges.empty() && m_exchanges.front()->end) {
             const std::shared_ptr<Exchange> exchange = m_exchanges.front();
-            if (!m_callerGone && !co_await answer(*exchange))
+            // The flow may notice first that the caller has left; its result is then no answer.
+            const bool seenByFlow = exchange->flow != nullptr && exchange->flow->callerGone;
+            if (seenByFlow || (!m_callerGone && !co_await answer(*exchange)))
                 abandon();
             m_exchanges.pop_front();
             if (exchange->flow != nullptr)
