--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -69,7 +69,7 @@
     hooks.evacuated = [this](const std::vector<std::string> &zones, StoreRevision revision) {
         if (!acceptFromPeer(ObjectKind::Evacuations, revision))
             return;
-        setEvacuated({zones.begin(), zones.end()});
+        setListedEvacuations({zones.begin(), zones.end()});
     };
     return hooks;
 }
@@ -79,6 +79,8 @@
 /// older than the peer's list.
 bool Control::acceptFromPeer(ObjectKind kind, StoreRevision revision)
 {
+    if (!takeEra(revision.era))
+        return false;
     if (revision <= m_revisions[kind])
         return false;
     updateChangedSince(kind, m_gateway.now());
@@ -213,6 +215,11 @@
     recordStoreCall(listed.hasValue(), "list");
     if (!listed)
         co_return false;
+    const std::optional<std::uint64_t> eraBefore = m_era;
+    if (!takeEra(listed->revision.era))
+        co_return false;
+    if (eraBefore != m_era)
+        m_relist.erase(follower.kind);
     logUnreadable(follower.kind, listed->unreadable);
     // A list may be delayed; its changes happened at any time since the previous answer.
     updateChangedSince(follower.kind, m_gateway.now());
@@ -227,8 +234,12 @@
     StoreRevision revision;
     bool mapsChange = false;
     while (true) {
-        if (m_relist.erase(follower.kind) != 0)
+        if (m_relist.contains(follower.kind)) {
+            if (m_gateway.now() < m_eraListsFrom)
+                co_await pause(m_eraListsFrom - m_gateway.now());
+            m_relist.erase(follower.kind);
             revision = {};
+        }
         if (!revision.known() && !co_await listAll(follower, revision)) {
             co_await pause(storePause);
             continue;
@@ -250,6 +261,11 @@
             co_await m_gateway.store.watch(follower.kind, revision, watchWait, keepCancel);
         if (changes) {
             recordStoreCall(true, "watch");
+            // The changes since a revision of another era aren't those since the last answer.
+            if (!takeEra(changes->revision.era) || changes->revision.era != revision.era) {
+                revision = {};
+                continue;
+            }
             if (m_relist.contains(follower.kind))
                 continue;
             logUnreadable(follower.kind, changes->unreadable);
@@ -341,7 +357,10 @@
                                {"start", m_start},
                                {"peers", m_gateway.options.peerAddress}};
     StoreRevision revision;
-    while (!m_gateway.stopping) {
+    std::optional<std::uint64_t> era = m_era;
+    // A new era starts another registration.
+    while (!m_gateway.stopping && (!era || era == m_era)) {
+        era = m_era;
         const WriteResult written = co_await m_gateway.store.put(
             ObjectKind::Instances, m_gateway.options.name, entry.dump(), revision);
         if (written.end == WriteEnd::Stored)
@@ -483,6 +502,15 @@
     std::set<std::string, std::less<>> zones;
     for (const StoredObject &object : objects)
         zones.insert(object.name);
+    setListedEvacuations(std::move(zones));
+}
+
+/// Sets the evacuated zones from a list. Until the operator had time to write again what a copy
+/// lacks, no zone is taken back by its absence.
+void Control::setListedEvacuations(std::set<std::string, std::less<>> zones)
+{
+    if (inEraGrace())
+        zones.insert(m_evacuated.begin(), m_evacuated.end());
     setEvacuated(std::move(zones));
 }
 
@@ -538,7 +566,8 @@
 
 void Control::onInstancesListed(const Objects &objects)
 {
-    m_instances.clear();
+    if (!inEraGrace())
+        m_instances.clear();
     for (const StoredObject &object : objects)
         m_instances[object.name] = peerAddressOf(object);
     applyInstances();
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -72,6 +72,11 @@
     asio::awaitable<bool> batchMapChanges(std::size_t changes);
     [[nodiscard]] StoreRevision newestMap() const noexcept;
     [[nodiscard]] Duration batchDelayFor(const Follower &follower) const noexcept;
+    [[nodiscard]] bool takeEra(std::uint64_t era);
+    void enterEra(std::uint64_t era);
+    asio::awaitable<void> endEraGrace(std::uint64_t era);
+    [[nodiscard]] bool inEraGrace() const noexcept { return m_gateway.now() < m_eraGraceUntil; }
+    [[nodiscard]] bool storedInEra(const WriteResult &written, std::uint64_t sentEra);
     asio::awaitable<void> registerInstance();
     asio::awaitable<void> keepLease();
     asio::awaitable<bool> readLease(bool allowStale);
@@ -91,6 +96,7 @@
     void applyTargets(const std::vector<TargetEntry> &entries);
     [[nodiscard]] bool isNamed(const TargetEntry &entry) const noexcept;
     void adoptNamedTargets();
+    void setListedEvacuations(std::set<std::string, std::less<>> zones);
     void setEvacuated(std::set<std::string, std::less<>> zones);
     void applyEvacuations();
     void relist(ObjectKind kind);
@@ -102,6 +108,8 @@
     void onShardMapsListed(const Objects &objects);
     void onShardMapChanged(const StoredObject &object);
 
+    [[nodiscard]] std::optional<ShardMap> newestRecord(const std::string &service,
+                                                       std::optional<ShardMap> stored) const;
     void decide(const std::string &service, Placing &placing);
     void proceed(const std::string &service, Placing &placing);
     [[nodiscard]] PlacementView viewOf(const LiveService &service) const;
@@ -120,6 +128,9 @@
     Gateway &m_gateway;
     std::string m_start;
     PlacerLease m_lease;
+    std::optional<std::uint64_t> m_era; ///< Of the store, once it has answered.
+    TimePoint m_eraGraceUntil{}; ///< Until then, what the store lacks isn't gone.
+    TimePoint m_eraListsFrom{}; ///< When this instance lists the objects of a new era.
     std::uint64_t m_renewal = 0; ///< Number of the last attempted renewal.
     TimePoint m_renewalSince{}; ///< Its first attempt.
     bool m_wasPlacing = false;
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -81,6 +81,8 @@
         co_await m_gateway.store.get(ObjectKind::Leases, leaseName, allowStale);
     const bool absent = !found && found.error().code == ErrorCode::NotFound;
     recordStoreCall(found.hasValue() || absent, "get");
+    if (found && !takeEra(found->revision.era))
+        co_return true;
     // The holder knows its own last write, which is newer than what a read returns.
     if (m_lease.held(m_gateway.now()))
         co_return found.hasValue() || absent;
@@ -106,6 +108,8 @@
     const std::string before = m_lease.holder();
     const WriteResult written = co_await m_gateway.store.put(
         ObjectKind::Leases, leaseName, encodeLease(record), m_lease.revision());
+    if (!storedInEra(written, record.era))
+        co_return;
     if (written.end == WriteEnd::Stored) {
         m_lease.stored(record, written.object.revision, sentAt);
         m_wasPlacing = true;
@@ -128,6 +132,8 @@
     const WriteResult written = co_await m_gateway.store.put(
         ObjectKind::Leases, leaseName, encodeLease(record), m_lease.revision());
     recordStoreCall(written.end == WriteEnd::Stored || written.end == WriteEnd::Conflict, "renew");
+    if (!storedInEra(written, record.era))
+        co_return;
     if (written.end == WriteEnd::Stored) {
         m_lease.stored(record, written.object.revision, sentAt);
         co_return;
@@ -135,7 +141,7 @@
     if (written.end != WriteEnd::Conflict)
         co_return;
     const Result<LeaseRecord> current = decodeLease(written.object.text);
-    if (current && m_lease.ours(*current)) {
+    if (current && m_lease.ours(*current) && current->era == record.era) {
         // An earlier attempt of this renewal succeeded, but its answer was lost.
         m_lease.stored(*current, written.object.revision, m_renewalSince);
         co_return;
@@ -231,11 +237,13 @@
 {
     const Result<StoredObject> found =
         co_await m_gateway.store.get(ObjectKind::ShardMaps, service, false);
+    // Ends this tenure if the era is new.
+    const bool usable = !found || takeEra(found->revision.era);
     Placing *const placing = findPlacing(service, id);
     if (placing == nullptr)
         co_return;
     const bool absent = !found && found.error().code == ErrorCode::NotFound;
-    if (!found && !absent) {
+    if ((!found && !absent) || !usable) {
         // The next tick retries.
         m_placing.erase(service);
         co_return;
@@ -252,12 +260,32 @@
     }
     PlacerTiming timing;
     timing.hold = std::min(timing.hold, m_gateway.options.maxHold);
+    const std::uint64_t era = m_era.value_or(0);
+    // A record of this era was written by a placer that had waited; one of an earlier era may lack
+    // the last moves.
+    const bool mayLackMoves = era != 0 && (!stored || stored->term <= termFloor(era));
+    const bool lost = mayLackMoves && !m_lease.heldIntoEra();
+    if (mayLackMoves)
+        stored = newestRecord(service, std::move(stored));
+    const TimePoint grantsEnd = m_lease.earlierLeasesEnd() + ShardPlacer::longestHold(timing);
+    if (lost && m_gateway.now() < grantsEnd) {
+        m_gateway.metrics.count("store-era", "await-grants");
+        co_await pause(grantsEnd - m_gateway.now());
+        if (findPlacing(service, id) != nullptr)
+            m_placing.erase(service);
+        co_return;
+    }
     placing->revision = found ? found->revision : StoreRevision{};
     placing->placer = ShardPlacer::create(service, m_gateway.options.name + "/" + m_start, timing);
-    placing->placer->adopt(stored, m_gateway.now());
+    if (lost)
+        placing->placer->adoptAfterLoss(stored, m_gateway.now(), era);
+    else
+        placing->placer->adopt(stored, m_gateway.now(), era);
     m_gateway.log.write("placement", "adopted",
                         {{"service", service},
                          {"revision", revisionJson(placing->revision)},
+                         {"mayLackMoves", mayLackMoves},
+                         {"grantsAnew", lost},
                          {"ranges", stored ? stored->ranges.size() : 0}});
     decide(service, *placing);
 }
@@ -318,8 +346,13 @@
         Placing *placing = findPlacing(service, id);
         if (placing == nullptr)
             co_return;
+        const std::uint64_t era = m_era.value_or(0);
         const WriteResult written =
             co_await m_gateway.store.put(ObjectKind::ShardMaps, service, text, placing->revision);
+        if (!storedInEra(written, era)) {
+            co_await pause(storePause);
+            continue;
+        }
         placing = findPlacing(service, id);
         if (placing == nullptr)
             co_return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -190,6 +190,9 @@
     KnownShardMap &known = shardMaps[map.service];
     if (revision <= known.revision)
         return;
+    // A store that came back from a copy has an older record under a later revision.
+    if (revision.era != known.revision.era && isOlder(map, known.map))
+        return;
     known.revision = revision;
     std::map<std::uint32_t, TimePoint> moving;
     for (const ShardRange &range : map.ranges) {
--- a/src/gateway/placer_lease.cpp
+++ b/src/gateway/placer_lease.cpp
@@ -8,8 +8,10 @@
 
 std::string encodeLease(const LeaseRecord &record)
 {
-    const nlohmann::json root{
+    nlohmann::json root{
         {"holder", record.holder}, {"start", record.start}, {"renewal", record.renewal}};
+    if (record.era != 0)
+        root["era"] = record.era;
     return root.dump();
 }
 
@@ -19,7 +21,8 @@
         const auto root = nlohmann::json::parse(text);
         return LeaseRecord{root.at("holder").get<std::string>(),
                            root.at("start").get<std::string>(),
-                           root.at("renewal").get<std::uint64_t>()};
+                           root.at("renewal").get<std::uint64_t>(),
+                           root.value("era", std::uint64_t{0})};
     } catch (const nlohmann::json::exception &failure) {
         return Error{ErrorCode::ParseFailed, failure.what(), {}};
     }
@@ -45,10 +48,26 @@
     return LeaseStep::Nothing;
 }
 
+void PlacerLease::enterEra(std::uint64_t era, TimePoint now) noexcept
+{
+    if (era <= m_era)
+        return;
+    m_heldIntoEra = held(now);
+    m_era = era;
+    m_eraSince = now;
+    m_heldUntil = TimePoint{};
+    m_seen = {};
+    m_revision = {};
+    m_wasRead = false;
+}
+
 void PlacerLease::observed(const std::optional<LeaseRecord> &record, StoreRevision revision,
                            TimePoint now)
 {
+    enterEra(revision.era, now);
     m_readAt = now;
+    if (revision.known() && revision.era < m_era)
+        return;
     // A stale answer with an earlier revision says nothing about the current holder.
     const bool changed = !m_wasRead || revision > m_revision;
     m_wasRead = true;
@@ -63,6 +82,10 @@
 {
     if (revision != m_revision)
         return false;
+    if (m_seen.era != m_era) {
+        const Duration standby = m_heldIntoEra ? Duration{} : m_timing.standbyDelay;
+        return now - m_seenSince >= m_timing.length && now - m_eraSince >= m_timing.length + standby;
+    }
     const bool ownFormerStart = m_seen.holder == m_name;
     const bool free = m_seen.holder.empty();
     return free || ownFormerStart || now - m_seenSince >= m_timing.length;
@@ -70,11 +93,13 @@
 
 LeaseRecord PlacerLease::next() const
 {
-    return {m_name, m_start, m_seen.renewal + 1};
+    return {m_name, m_start, m_seen.renewal + 1, m_era};
 }
 
 void PlacerLease::stored(const LeaseRecord &record, StoreRevision revision, TimePoint sentAt)
 {
+    if (revision.era != record.era || record.era != m_era)
+        return;
     m_seen = record;
     m_revision = revision;
     m_wasRead = true;
--- a/src/gateway/shard_map.cpp
+++ b/src/gateway/shard_map.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace yuccaspan::gateway {
 
@@ -45,6 +46,11 @@
     return range;
 }
 
+bool isOlder(const ShardMap &first, const ShardMap &second) noexcept
+{
+    return std::tie(first.term, first.write) < std::tie(second.term, second.write);
+}
+
 bool coverAllKeys(const std::vector<ShardRange> &ranges) noexcept
 {
     std::uint32_t expected = 0;
--- a/src/gateway/shard_map.hpp
+++ b/src/gateway/shard_map.hpp
@@ -86,6 +86,21 @@
     [[nodiscard]] const ShardRange *find(std::uint32_t key) const noexcept;
 };
 
+/// \brief Largest term before those of an era of the store. Each record of an era has a higher one.
+[[nodiscard]] constexpr std::uint64_t termFloor(std::uint64_t era) noexcept
+{
+    constexpr unsigned termBits = 20;
+    return era << termBits;
+}
+/// \brief Largest fencing token before those of an era of the store; tokens that a lost record gave
+/// out are below. Tokens stay whole numbers in JSON (below 2^53) for 8191 eras.
+[[nodiscard]] constexpr std::uint64_t fenceFloor(std::uint64_t era) noexcept
+{
+    constexpr unsigned fenceBits = 40;
+    return era << fenceBits;
+}
+/// \brief Whether the first record is older than the second, whatever revisions they were read at.
+[[nodiscard]] bool isOlder(const ShardMap &first, const ShardMap &second) noexcept;
 /// \brief Whether the ranges are in order and cover all keys without gaps.
 [[nodiscard]] bool coverAllKeys(const std::vector<ShardRange> &ranges) noexcept;
 /// \brief Converts a range to JSON.
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -53,19 +53,42 @@
     return std::chrono::duration_cast<Duration>(m_timing.renewInterval * fraction);
 }
 
-void ShardPlacer::adopt(const std::optional<ShardMap> &stored, TimePoint now)
+Duration ShardPlacer::longestHold(const PlacerTiming &timing) noexcept
+{
+    return ShardPlacer({}, {}, timing).maxHoldAfterSending();
+}
+
+void ShardPlacer::adoptAfterLoss(const std::optional<ShardMap> &known, TimePoint now,
+                                 std::uint64_t era)
+{
+    adopt(known, now, era);
+    for (Slot &slot : m_slots) {
+        const std::optional<Holder> former = slot.range.owner ? slot.range.owner : slot.range.next;
+        slot.range.owner.reset();
+        slot.range.next.reset();
+        slot.hold = {};
+        slot.nextHold = {};
+        slot.stage = Stage::Settled;
+        if (!former)
+            continue;
+        slot.range.next = Holder{former->target, former->incarnation, ++m_lastFence};
+        slot.stage = Stage::Granting;
+    }
+}
+
+void ShardPlacer::adopt(const std::optional<ShardMap> &stored, TimePoint now, std::uint64_t era)
 {
     m_slots.clear();
     m_pendingOrders.clear();
     m_writeInFlight = 0;
     m_takeoverStored = false;
     m_needsWrite = true;
-    m_term = stored ? stored->term + 1 : 1;
+    m_term = std::max(stored ? stored->term : 0, termFloor(era)) + 1;
     // Results of orders sent by an earlier placer of this process must not match new order ids.
     constexpr unsigned termShift = 32;
     m_nextOrder = (m_term << termShift) + 1;
     m_write = stored ? stored->write : 0;
-    m_lastFence = stored ? stored->lastFence : 0;
+    m_lastFence = std::max(stored ? stored->lastFence : 0, fenceFloor(era));
     if (!stored)
         return;
     // The previous placer may have sent grants up to now that are unknown to this one.
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -114,7 +114,14 @@
 
     /// \brief Resumes from the record of the previous placer.
     /// \param stored The record in the store, or nothing if none was ever written.
-    void adopt(const std::optional<ShardMap> &stored, TimePoint now);
+    /// \param era Of the store; raises the term and the fencing tokens above those of earlier eras.
+    void adopt(const std::optional<ShardMap> &stored, TimePoint now, std::uint64_t era = 0);
+    /// \brief Resumes from a record that may lack the last writes of the previous placer, once all
+    /// grants have expired. No owner is renewed, as others may have held its keys since under higher
+    /// tokens: each gets its keys again under a new one.
+    void adoptAfterLoss(const std::optional<ShardMap> &known, TimePoint now, std::uint64_t era);
+    /// \brief Time after which a grant sent now is certain to have expired, whenever it arrives.
+    [[nodiscard]] static Duration longestHold(const PlacerTiming &timing) noexcept;
     /// \brief Makes placement decisions and issues what is due. Its cost grows with the number of
     /// targets and ranges, so call it periodically, not after each completed order.
     [[nodiscard]] PlacerOutput tick(const PlacementView &view, TimePoint now);
--- a/src/gateway/target_directory.cpp
+++ b/src/gateway/target_directory.cpp
@@ -29,6 +29,11 @@
     Target &target = found->second;
     if (!isNew && entry.incarnation < target.entry.incarnation)
         return false;
+    const bool fromCopy = target.ofEarlierEra && entry.incarnation == target.entry.incarnation
+        && entry.sequence <= target.entry.sequence;
+    if (!isNew && fromCopy && !entry.draining)
+        return false;
+    target.ofEarlierEra = false;
     const std::string before = target.entry.address;
     const bool newIncarnation = isNew || entry.incarnation > target.entry.incarnation;
     const bool changed = newIncarnation || !target.listed || !sameButSequence(target.entry, entry);
@@ -144,6 +149,13 @@
     m_graceUntil = std::max(m_graceUntil, now + relistGrace);
 }
 
+void TargetDirectory::enterEra(TimePoint now) noexcept
+{
+    storeUnavailable(now);
+    for (auto &[id, target] : m_targets)
+        target.ofEarlierEra = true;
+}
+
 void TargetDirectory::setEvacuated(const std::vector<std::string> &zones, TimePoint since)
 {
     std::map<std::string, TimePoint, std::less<>> evacuated;
--- a/src/gateway/target_directory.hpp
+++ b/src/gateway/target_directory.hpp
@@ -36,6 +36,9 @@
     std::optional<TimePoint> leavingSince; ///< Earliest time at which it may have left.
     std::optional<TimePoint> saidLeavingSince; ///< When it said in an answer that it leaves.
     std::optional<TimePoint> missingSince; ///< When its entry went missing.
+    /// Known from an earlier era of the store: an entry of that sequence or an earlier one comes
+    /// from the copy and says nothing new.
+    bool ofEarlierEra = false;
     bool listed = true; ///< In the store, or missing within the grace period.
 
     /// \brief Whether the target accepts new work.
@@ -75,6 +78,9 @@
     bool tick(TimePoint now);
     /// \brief Records that the store is unavailable; restarts the grace period of missing entries.
     void storeUnavailable(TimePoint now) noexcept;
+    /// \brief Records that the store came back from a copy: what is missing from it gets a grace
+    /// period, and its entries of known targets count only if they are newer than the known ones.
+    void enterEra(TimePoint now) noexcept;
     /// \brief Sets the zones that must get no new work.
     void setEvacuated(const std::vector<std::string> &zones, TimePoint since);
 
