--- a/src/gateway/placer_lease.cpp
+++ b/src/gateway/placer_lease.cpp
@@ -19,10 +19,9 @@
 {
     try {
         const auto root = nlohmann::json::parse(text);
-        return LeaseRecord{root.at("holder").get<std::string>(),
-                           root.at("start").get<std::string>(),
-                           root.at("renewal").get<std::uint64_t>(),
-                           root.value("era", std::uint64_t{0})};
+        return LeaseRecord{
+            root.at("holder").get<std::string>(), root.at("start").get<std::string>(),
+            root.at("renewal").get<std::uint64_t>(), root.value("era", std::uint64_t{0})};
     } catch (const nlohmann::json::exception &failure) {
         return Error{ErrorCode::ParseFailed, failure.what(), {}};
     }
@@ -84,7 +83,8 @@
         return false;
     if (m_seen.era != m_era) {
         const Duration standby = m_heldIntoEra ? Duration{} : m_timing.standbyDelay;
-        return now - m_seenSince >= m_timing.length && now - m_eraSince >= m_timing.length + standby;
+        return now - m_seenSince >= m_timing.length
+            && now - m_eraSince >= m_timing.length + standby;
     }
     const bool ownFormerStart = m_seen.holder == m_name;
     const bool free = m_seen.holder.empty();
