Store eras: a late answer of an earlier era about the lease is tested

Not shown by a test: Control dropping late lists and watches of an earlier era, and a shard map write that another era answers.

--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -117,8 +117,8 @@
     /// \param era Of the store; raises the term and the fencing tokens above those of earlier eras.
     void adopt(const std::optional<ShardMap> &stored, TimePoint now, std::uint64_t era = 0);
     /// \brief Resumes from a record that may lack the last writes of the previous placer, once all
-    /// grants have expired. No owner is renewed, as others may have held its keys since under higher
-    /// tokens: each gets its keys again under a new one.
+    /// grants have expired. No owner is renewed, as others may have held its keys since under
+    /// higher tokens: each gets its keys again under a new one.
     void adoptAfterLoss(const std::optional<ShardMap> &known, TimePoint now, std::uint64_t era);
     /// \brief Time after which a grant sent now is certain to have expired, whenever it arrives.
     [[nodiscard]] static Duration longestHold(const PlacerTiming &timing) noexcept;
--- a/tests/gateway/test_store_era.cpp
+++ b/tests/gateway/test_store_era.cpp
@@ -69,6 +69,16 @@
     EXPECT_EQ(lease.revision(), (StoreRevision{1, 8}));
 }
 
+/// Otherwise its holder would be waited for, or its revision be replaced.
+TEST(StoreEra, aLateAnswerOfAnEarlierEraSaysNothingAboutTheLease)
+{
+    PlacerLease lease("a", "1");
+    lease.enterEra(1, start);
+    lease.observed(LeaseRecord{"b", "1", 4}, {0, 90}, start);
+    EXPECT_FALSE(lease.revision().known());
+    EXPECT_TRUE(lease.holder().empty());
+}
+
 TEST(StoreEra, aLeaseWriteThatReachedAnotherEraGivesNoLease)
 {
     PlacerLease lease("a", "1");
