Instances lend each other their parts of allowances; old keys aren't admitted

Callers of workspaces got 429 below the limit, since they are spread unevenly over the instances and each had an equal part. Rates are now lent by demand for a second over the socket of PeerLink (AllowanceExchange; docs/design/shared-state.md says why the parts never add up to more than the whole). What an instance may have lent before a restart it doesn't use for a second. Seven tenths of the platform's tolerance (new settings) add to the burst. Where revokeWithinS is set, keys of a list that may be older get 503 (keys-outdated) and the readiness address says unready; the watch of the desired state is shorter there, and peers tell the age of what they know.

Allowance no longer rounds its capacity up to a token: 118 such tokens were more than small limits allow. No test had checked it.

No test covers the 503 of admitCaller, the watch's wait in Control or the age in PeerLink.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -209,6 +209,7 @@
 
 asio::awaitable<bool> Control::listAll(const Follower &follower, StoreRevision &revision)
 {
+    const TimePoint askedAt = m_gateway.now();
     const Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
     recordStoreCall(listed.hasValue(), "list");
     if (!listed)
@@ -219,6 +220,8 @@
     revision = listed->revision;
     m_revisions[follower.kind] = revision;
     (this->*follower.onListed)(listed->objects);
+    if (follower.kind == ObjectKind::Settings)
+        m_gateway.keyFreshness.currentAsOf(askedAt);
     co_return true;
 }
 
@@ -246,8 +249,11 @@
                 checkWatchWasReceived();
         };
         const TimePoint askedAt = m_gateway.now();
+        const Duration wait = follower.kind == ObjectKind::Settings
+            ? m_gateway.keyFreshness.watchWait(watchWait)
+            : watchWait;
         Result<StoredObjects> changes =
-            co_await m_gateway.store.watch(follower.kind, revision, watchWait, keepCancel);
+            co_await m_gateway.store.watch(follower.kind, revision, wait, keepCancel);
         if (changes) {
             recordStoreCall(true, "watch");
             if (m_relist.contains(follower.kind))
@@ -262,6 +268,11 @@
             }
             for (const StoredObject &object : changes->objects)
                 (this->*follower.onChanged)(object);
+            if (follower.kind == ObjectKind::Settings && !changes->mayHaveMore) {
+                const Duration waited = changes->objects.empty() ? wait : Duration::zero();
+                m_gateway.keyFreshness.currentAsOf(
+                    KeyFreshness::answeredAsOf(askedAt, waited, m_gateway.now()));
+            }
             if (follower.kind == ObjectKind::Targets && !m_returning.empty())
                 applyEvacuations();
             if (changes->objects.empty())
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,6 +27,9 @@
 /// Fraction of a target's connection limit that all instances together keep idle; the rest is for
 /// connections in use.
 constexpr double idleConnectionFraction = 0.7;
+/// Fraction of the tolerance of an allowance that adds to its burst, since the burst of a few
+/// requests of an instance is soon used up. The rest is for instances that join.
+constexpr double usedToleranceFraction = 0.7;
 
 } // namespace
 
@@ -40,7 +43,9 @@
       store(storeIn),
       codec(codecIn),
       options(std::move(optionsIn)),
-      bodies(MessageMemory::create(options.bodyMemory))
+      bodies(MessageMemory::create(options.bodyMemory)),
+      keyFreshness(options.revokeWithin),
+      allowances({options.name, std::random_device{}()}, clock.now())
 { }
 
 std::shared_ptr<LiveTarget> Gateway::liveTarget(const Target &target)
@@ -211,7 +216,7 @@
     instancesKnown = true;
     share.instances = static_cast<std::uint32_t>(known.size());
     share.rank = static_cast<std::uint32_t>(std::distance(known.begin(), known.find(options.name)));
-    configureAllowances();
+    allowances.setInstances(names, now());
     for (auto &[name, service] : services)
         service.budget.configure(options.repeatRatio, options.repeatSlack, share.instances);
     for (auto &[id, target] : live)
@@ -222,9 +227,15 @@
 {
     if (!desired)
         return;
-    const double part = 1.0 / std::max(share.instances, 1U);
-    for (const Workspace &workspace : desired->workspaces)
-        allowances[workspace.name].configure({workspace.perSecond, workspace.burst}, part, now());
+    const double window = std::chrono::duration<double>(options.allowanceWindow).count();
+    std::map<std::string, AllowanceLimit, std::less<>> limits;
+    for (const Workspace &workspace : desired->workspaces) {
+        const double most = workspace.perSecond * window + workspace.burst;
+        const double tolerated = most * options.allowanceOverrun + options.allowanceSlack;
+        limits[workspace.name] = {workspace.perSecond,
+                                  workspace.burst + usedToleranceFraction * tolerated};
+    }
+    allowances.setLimits(limits, now());
 }
 
 void Gateway::wakeAll()
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -15,7 +15,8 @@
 #include "gateway/shard_map.hpp"
 #include "gateway/shared_rate.hpp"
 #include "gateway/waiting_lane.hpp"
-#include "gateway/workspaces/allowance.hpp"
+#include "gateway/workspaces/allowance_exchange.hpp"
+#include "gateway/workspaces/key_freshness.hpp"
 #include "gateway/workspaces/key_table.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -45,6 +46,11 @@
     Duration evacuateWithin =
         std::chrono::seconds(5); ///< Time until an evacuated zone gets no more requests.
     Duration stopWithin = std::chrono::seconds(6); ///< From SIGTERM to the end of the process.
+    Duration allowanceWindow =
+        std::chrono::seconds(5); ///< In which the platform counts a workspace's requests.
+    double allowanceOverrun = 0; ///< Tolerated beyond the allowance, as a fraction of it.
+    double allowanceSlack = 0; ///< Further requests in a window, all instances together.
+    Duration revokeWithin{}; ///< Time until a taken key is refused everywhere; 0: no bound.
     Duration maxHold = std::chrono::seconds(10); ///< Longest grant that targets accept.
     bool competingCallers = false; ///< Whether callers often compete for too little room.
     std::size_t pipelineDepth = 1; ///< Requests of one connection that are in progress at a time.
@@ -101,7 +107,8 @@
     std::shared_ptr<const DesiredState> desired;
     RouteIndex routes;
     KeyTable keys; ///< Of the desired state.
-    std::map<std::string, Allowance, std::less<>> allowances; ///< By workspace.
+    KeyFreshness keyFreshness; ///< Of those keys.
+    AllowanceExchange allowances; ///< Of the workspaces.
     WeightedDealer dealer;
     std::map<std::string, KnownShardMap, std::less<>> shardMaps;
     std::map<std::string, std::shared_ptr<LiveTarget>, std::less<>> live;
@@ -134,7 +141,12 @@
         return desired && targetsKnown && instancesKnown;
     }
     /// \brief Whether callers can be served.
-    [[nodiscard]] bool ready() const noexcept { return !stopping && informed(); }
+    [[nodiscard]] bool ready() const noexcept { return !stopping && informed() && keysCurrent(); }
+    /// \brief Whether callers' keys may be admitted, as far as there are any.
+    [[nodiscard]] bool keysCurrent() const noexcept
+    {
+        return desired && (desired->workspaces.empty() || keyFreshness.fresh(now()));
+    }
     /// \brief Whether a request may still be in progress at the end of the process.
     /// \param deadline Of the request, which has just been read.
     [[nodiscard]] bool mayOutlastStop(TimePoint deadline) const noexcept
@@ -166,7 +178,7 @@
     void learnPause(LiveTarget &target, Duration pause, AnswerSource source);
     /// \brief Applies the rate that a target named to its gate.
     void applyNamedRate(LiveTarget &target) const;
-    /// \brief Sets this instance's parts of the workspaces' allowances.
+    /// \brief Sets the limits of the workspaces' allowances.
     void configureAllowances();
     /// \brief Drops the local state of removed targets.
     void forgetTargets();
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -66,7 +66,7 @@
     histogram->Observe(std::chrono::duration<double>(latency).count());
 }
 
-void GatewayMetrics::count(std::string_view event, std::string_view label)
+void GatewayMetrics::count(std::string_view event, std::string_view label, std::uint64_t times)
 {
     prometheus::Counter *&counter =
         m_state->eventCounters[{std::string(event), std::string(label)}];
@@ -74,7 +74,7 @@
         counter =
             &m_state->events.Add({{"event", std::string(event)}, {"label", std::string(label)}});
     }
-    counter->Increment();
+    counter->Increment(static_cast<double>(times));
 }
 
 void GatewayMetrics::loopLag(Duration lag)
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -4,6 +4,7 @@
 
 #include "yuccaspan/clock.hpp"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,7 +24,7 @@
     /// \brief Counts a finished request.
     void request(const std::string &route, std::string_view outcome, Duration latency);
     /// \brief Counts an event by name, such as a call to the store.
-    void count(std::string_view event, std::string_view label);
+    void count(std::string_view event, std::string_view label, std::uint64_t times = 1);
     /// \brief Records the lag of the event loop.
     void loopLag(Duration lag);
     /// \brief All metrics in the Prometheus text format.
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -23,6 +23,10 @@
 constexpr Duration queryTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerIdleTimeout = std::chrono::seconds(3);
 constexpr std::size_t maxDatagram = 60000;
+/// Interval of looking for parts of allowances that are lacking.
+constexpr Duration allowanceInterval = std::chrono::milliseconds(50);
+/// Interval of log lines about them.
+constexpr Duration allowanceLogInterval = std::chrono::seconds(5);
 /// Weight of one answer in the moving average of a target's slowness.
 constexpr double answerWeight = 0.06;
 
@@ -49,6 +53,7 @@
     asio::co_spawn(m_gateway.loop, reportLoad(), asio::detached);
     asio::co_spawn(m_gateway.loop, receiveMessages(), asio::detached);
     asio::co_spawn(m_gateway.loop, queryPeers(), asio::detached);
+    asio::co_spawn(m_gateway.loop, lendAllowances(), asio::detached);
     return ok();
 }
 
@@ -129,6 +134,10 @@
         if (failure)
             continue;
         bytes.resize(count);
+        if (isAllowanceMessage(bytes)) {
+            receiveAllowances(bytes);
+            continue;
+        }
         if (const Result<ShardDelta> delta = decodeShardDelta(bytes)) {
             receiveDelta(*delta);
             continue;
@@ -140,6 +149,55 @@
     }
 }
 
+asio::awaitable<void> PeerLink::lendAllowances()
+{
+    asio::steady_timer timer(m_gateway.loop);
+    TimePoint loggedAt{};
+    AllowanceCounts sum;
+    while (true) {
+        timer.expires_after(allowanceInterval);
+        co_await timer.async_wait(asTuple);
+        const TimePoint now = m_gateway.now();
+        if (!m_gateway.desired || m_gateway.desired->workspaces.empty())
+            continue;
+        send(m_gateway.allowances.tick(now));
+        const AllowanceCounts counts = m_gateway.allowances.takeCounts();
+        sum.add(counts);
+        m_gateway.metrics.count("allowance", "asked", counts.asked);
+        m_gateway.metrics.count("allowance", "lent", counts.lent);
+        m_gateway.metrics.count("allowance", "borrowed", counts.borrowed);
+        m_gateway.metrics.count("allowance", "stale", counts.stale);
+        m_gateway.metrics.count("allowance", "refused", counts.refused);
+        if (now - loggedAt < allowanceLogInterval || sum.idle())
+            continue;
+        loggedAt = now;
+        m_gateway.log.write("workspaces", "allowances",
+                            {{"instances", m_gateway.share.instances},
+                             {"borrowing", m_gateway.allowances.borrowing(now)},
+                             {"asked", sum.asked},
+                             {"lent", sum.lent},
+                             {"borrowed", sum.borrowed},
+                             {"stale", sum.stale},
+                             {"refused", sum.refused}});
+        sum = {};
+    }
+}
+
+void PeerLink::send(const AllowanceExchange::Outgoing &messages)
+{
+    for (const auto &[to, message] : messages)
+        m_gateway.metrics.count("allowance-message",
+                                sendTo(to, encodeAllowanceMessage(message)) ? "sent" : "dropped");
+}
+
+void PeerLink::receiveAllowances(const std::vector<std::uint8_t> &bytes)
+{
+    const Result<AllowanceMessage> message = decodeAllowanceMessage(bytes);
+    m_gateway.metrics.count("allowance-message", message ? "taken" : "damaged");
+    if (message)
+        send(m_gateway.allowances.receive(*message, m_gateway.now()));
+}
+
 void PeerLink::addLoad(const LoadMessage &message)
 {
     const DutyTimer timer(m_gateway, Duty::TakeLoad);
@@ -173,7 +231,9 @@
     while (true) {
         timer.expires_after(queryInterval);
         co_await timer.async_wait(asTuple);
-        if (!m_hooks.storeUnavailable() || m_peers.size() < 2)
+        const bool needed =
+            m_hooks.storeUnavailable() || m_gateway.keyFreshness.ageing(m_gateway.now());
+        if (!needed || m_peers.size() < 2)
             continue;
         auto peer = m_peers.begin();
         std::advance(peer, static_cast<std::ptrdiff_t>(m_nextPeer++ % m_peers.size()));
@@ -200,12 +260,13 @@
     options.connectTimeout = queryTimeout;
     options.timeout = queryTimeout;
     const auto pool = ClientPool::create(m_gateway.loop, address, {.idleLimit = peerIdleTimeout});
+    const TimePoint askedAt = m_gateway.now();
     const CallResult result = co_await pool->call(std::move(request), std::move(options));
     const bool answered =
         result.end == CallEnd::Answered && result.response.result() == http::status::ok;
     m_gateway.metrics.count("peer-state", answered ? "answered" : "failed");
     if (answered)
-        applyAnswer(result.response.body());
+        applyAnswer(result.response.body(), askedAt);
 }
 
 std::string PeerLink::answerState(const std::string &request) const
@@ -219,6 +280,9 @@
                                   {"revision", revisionJson(state.settings.revision)},
                                   {"body", *state.settings.body}};
         }
+        if (const auto age = m_gateway.keyFreshness.age(m_gateway.now()))
+            answer["keys"] = {{"revision", revisionJson(state.settings.revision)},
+                              {"ageUs", age->count()}};
         if (state.targetsRevision > revisionOf(query.at("targets"))) {
             json entries = json::array();
             for (const auto &[id, target] : m_gateway.directory.targets()) {
@@ -249,7 +313,7 @@
     }
 }
 
-void PeerLink::applyAnswer(const std::string &answer)
+void PeerLink::applyAnswer(const std::string &answer, TimePoint askedAt)
 {
     try {
         const json root = json::parse(answer);
@@ -260,6 +324,14 @@
             object.body = std::make_shared<const json>(root.at("settings").at("body"));
             m_hooks.settings(object);
         }
+        if (root.contains("keys")) {
+            // What the peer knows counts only once it is in force here.
+            const json &keys = root.at("keys");
+            const Duration age(keys.at("ageUs").get<Duration::rep>());
+            if (age >= Duration::zero()
+                && m_hooks.state().settings.revision >= revisionOf(keys.at("revision")))
+                m_gateway.keyFreshness.currentAsOf(askedAt - age);
+        }
         if (root.contains("targets")) {
             std::vector<TargetEntry> entries;
             for (const json &entry : root.at("targets").at("entries"))
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -60,9 +60,12 @@
     asio::awaitable<void> receiveMessages();
     asio::awaitable<void> queryPeers();
     asio::awaitable<void> queryPeer(std::string address);
-    void applyAnswer(const std::string &answer);
+    void applyAnswer(const std::string &answer, TimePoint askedAt);
     void addLoad(const LoadMessage &message);
     void receiveDelta(const ShardDelta &delta);
+    asio::awaitable<void> lendAllowances();
+    void receiveAllowances(const std::vector<std::uint8_t> &bytes);
+    void send(const AllowanceExchange::Outgoing &messages);
     bool sendTo(const std::string &peer, const std::vector<std::uint8_t> &bytes);
 
     Gateway &m_gateway;
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -22,6 +22,7 @@
     OwnerLeaves, ///< The owner of the key is leaving and may get no new requests.
     TargetPaused, ///< The target asked for no requests for a time.
     TargetLost, ///< The target cannot be reached.
+    KeysOutdated, ///< The known keys may be too old to admit callers.
     UnknownKey, ///< No workspace holds the caller's key.
     OverAllowance, ///< The workspace has used up its allowance.
     Overloaded, ///< The request would miss its deadline, or missed it while waiting.
@@ -86,25 +87,16 @@
 struct yuccaspan::EnumNames<yuccaspan::gateway::EndReason>
 {
     using Reason = yuccaspan::gateway::EndReason;
-    static constexpr std::array<EnumName<Reason>, 19> table{{
-        {Reason::Answered, "answered"},
-        {Reason::NotReady, "not-ready"},
-        {Reason::NoRoute, "no-route"},
-        {Reason::NoOwner, "no-owner"},
-        {Reason::KeyMoving, "key-moving"},
-        {Reason::NoTarget, "no-target"},
-        {Reason::OwnerLeaves, "owner-leaves"},
-        {Reason::TargetPaused, "target-paused"},
-        {Reason::TargetLost, "target-lost"},
-        {Reason::UnknownKey, "unknown-key"},
-        {Reason::OverAllowance, "over-allowance"},
-        {Reason::Overloaded, "overloaded"},
-        {Reason::TargetFull, "target-full"},
-        {Reason::Misdirected, "misdirected"},
-        {Reason::Broken, "broken"},
-        {Reason::TimedOut, "timed-out"},
-        {Reason::CallerGone, "caller-gone"},
-        {Reason::NoMemory, "no-memory"},
-        {Reason::Stopping, "stopping"},
+    static constexpr std::array<EnumName<Reason>, 20> table{{
+        {Reason::Answered, "answered"},        {Reason::NotReady, "not-ready"},
+        {Reason::NoRoute, "no-route"},         {Reason::NoOwner, "no-owner"},
+        {Reason::KeyMoving, "key-moving"},     {Reason::NoTarget, "no-target"},
+        {Reason::OwnerLeaves, "owner-leaves"}, {Reason::TargetPaused, "target-paused"},
+        {Reason::TargetLost, "target-lost"},   {Reason::KeysOutdated, "keys-outdated"},
+        {Reason::UnknownKey, "unknown-key"},   {Reason::OverAllowance, "over-allowance"},
+        {Reason::Overloaded, "overloaded"},    {Reason::TargetFull, "target-full"},
+        {Reason::Misdirected, "misdirected"},  {Reason::Broken, "broken"},
+        {Reason::TimedOut, "timed-out"},       {Reason::CallerGone, "caller-gone"},
+        {Reason::NoMemory, "no-memory"},       {Reason::Stopping, "stopping"},
     }};
 };
--- a/src/gateway/workspaces/allowance.cpp
+++ b/src/gateway/workspaces/allowance.cpp
@@ -6,7 +6,7 @@
 
 double Allowance::capacity() const noexcept
 {
-    return std::max(1.0, m_limit.burst * m_part);
+    return m_limit.burst * m_part;
 }
 
 void Allowance::configure(const AllowanceLimit &limit, double part, TimePoint now) noexcept
