--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -211,6 +211,7 @@
 
 asio::awaitable<bool> Control::listAll(const Follower &follower, StoreRevision &revision)
 {
+    const TimePoint askedAt = m_gateway.now();
     const Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
     recordStoreCall(listed.hasValue(), "list");
     if (!listed)
@@ -226,6 +227,9 @@
     revision = listed->revision;
     m_revisions[follower.kind] = revision;
     (this->*follower.onListed)(listed->objects);
+    // A store from a copy may lack the newest settings until the operator has written them again.
+    if (follower.kind == ObjectKind::Settings && !inEraGrace())
+        m_gateway.keyFreshness.currentAsOf(askedAt);
     co_return true;
 }
 
@@ -257,8 +261,11 @@
                 checkWatchWasReceived();
         };
         const TimePoint askedAt = m_gateway.now();
+        const Duration wait = follower.kind == ObjectKind::Settings
+            ? m_gateway.keyFreshness.watchWait(watchWait)
+            : watchWait;
         Result<StoredObjects> changes =
-            co_await m_gateway.store.watch(follower.kind, revision, watchWait, keepCancel);
+            co_await m_gateway.store.watch(follower.kind, revision, wait, keepCancel);
         if (changes) {
             recordStoreCall(true, "watch");
             // The changes since a revision of another era aren't those since the last answer.
@@ -278,6 +285,12 @@
             }
             for (const StoredObject &object : changes->objects)
                 (this->*follower.onChanged)(object);
+            const bool complete = !changes->mayHaveMore && !inEraGrace();
+            if (follower.kind == ObjectKind::Settings && complete) {
+                const Duration waited = changes->objects.empty() ? wait : Duration::zero();
+                m_gateway.keyFreshness.currentAsOf(
+                    KeyFreshness::answeredAsOf(askedAt, waited, m_gateway.now()));
+            }
             if (follower.kind == ObjectKind::Targets && !m_returning.empty())
                 applyEvacuations();
             if (changes->objects.empty())
