Waiting requests can be ordered by least cost to their callers

A request counted as on time until its objective had passed, without its work, so the oldest was sent when it was just too late; and one that could not make its deadline was kept until near it.

RoomOrder decides apart from I/O. "urgency" is the order so far and the default. "least-cost" plans, per priority, the largest number on time (Moore and Hodgson); those that make way go behind the next lower priority, and leave at once with 503 if they would miss their deadline, also for a newcomer. Retry-After is the planned wait, spread by the request's id. Setting "waitingOrder", read under the contract "pressure" only. The template says "urgency": the choice is open.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,7 @@
       store(storeIn),
       codec(codecIn),
       options(std::move(optionsIn)),
+      roomOrder(RoomOrder::of(options.waitingOrder)),
       bodies(MessageMemory::create(options.bodyMemory))
 { }
 
@@ -169,6 +170,16 @@
     return found == averageRouteSeconds.end() ? otherwise : found->second;
 }
 
+double Gateway::inFlight(std::string_view service) const
+{
+    double sum = 0;
+    for (const auto &[id, target] : live) {
+        if (target->entry.service == service)
+            sum += target->gate.inFlight();
+    }
+    return sum;
+}
+
 void Gateway::apply(std::shared_ptr<const DesiredState> state)
 {
     desired = std::move(state);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -47,6 +47,7 @@
     Duration stopWithin = std::chrono::seconds(6); ///< From SIGTERM to the end of the process.
     Duration maxHold = std::chrono::seconds(10); ///< Longest grant that targets accept.
     bool competingCallers = false; ///< Whether callers often compete for too little room.
+    WaitingOrder waitingOrder = WaitingOrder::Urgency; ///< Of requests that wait for room.
     std::size_t pipelineDepth = 1; ///< Requests of one connection that are in progress at a time.
     std::size_t pipelineBytes = 262144; ///< Answers that wait on a connection before reading stops.
     std::size_t bodyMemory = defaultBodyMemory(); ///< For all buffered bodies together, in bytes.
@@ -94,6 +95,7 @@
     MetadataStore &store;
     PlatformCodec &codec;
     const GatewayOptions options;
+    const RoomOrder &roomOrder; ///< Of the requests that wait.
     GatewayMetrics metrics;
     const std::shared_ptr<MessageMemory> bodies; ///< Memory of the buffered bodies.
 
@@ -150,6 +152,8 @@
     /// \brief Moving average of a route's latency, in seconds.
     /// \param otherwise Value while none was measured.
     [[nodiscard]] double averageSeconds(const std::string &route, double otherwise) const;
+    /// \brief Requests of this instance in flight at the targets of a service.
+    [[nodiscard]] double inFlight(std::string_view service) const;
     /// \brief Applies a newer desired state.
     void apply(std::shared_ptr<const DesiredState> state);
     /// \brief Applies a shard map unless the known one is as new or newer.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -51,8 +51,10 @@
     Duration latency{};
 };
 
-asio::awaitable<void> waitFor(Gateway &gateway, const std::shared_ptr<Flow> &flow,
-                              WaitingLane *lane, Duration longest)
+/// Waits.
+/// \returns The retry delay of a request that must make way for others.
+asio::awaitable<std::optional<Duration>>
+waitFor(Gateway &gateway, const std::shared_ptr<Flow> &flow, WaitingLane *lane, Duration longest)
 {
     const TimePoint from = gateway.now();
     const Duration left = std::min(flow->deadline, gateway.rejectFrom) - from;
@@ -67,6 +69,7 @@
     if (place)
         lane->remove(*place);
     flow->waited += gateway.now() - from;
+    co_return waiter.displaced();
 }
 
 bool isCold(const Gateway &gateway, const LiveTarget &target, TimePoint now)
@@ -148,8 +151,14 @@
         usual += newestWeight * (seconds - usual);
     }
     const TimePoint now = gateway.now();
-    if (!target->lane.wakeOne(now))
-        gateway.liveService(target->entry.service).lane.wakeOne(now);
+    const auto inFlight = static_cast<double>(target->gate.inFlight() + 1);
+    if (target->lane.wakeOne(gateway.roomOrder, {now, {}, inFlight}))
+        return;
+    WaitingLane &lane = gateway.liveService(target->entry.service).lane;
+    if (!lane.empty()) {
+        const double all = 1 + gateway.inFlight(target->entry.service);
+        lane.wakeOne(gateway.roomOrder, {now, {}, all});
+    }
 }
 
 /// Whether the response of a target may be delivered unchanged.
@@ -195,7 +204,12 @@
                 co_return ended(choice.reason, choice.retryDelay);
             if (choice.kind == TargetChoice::Kind::Wait) {
                 m_lastWait = choice.reason;
-                co_await waitFor(m_gateway, m_flow, laneOf(choice), choice.recheckAfter);
+                const std::optional<Duration> displaced =
+                    co_await waitFor(m_gateway, m_flow, laneOf(choice), choice.recheckAfter);
+                if (displaced && !m_flow->callerGone) {
+                    recordDisplaced(*displaced);
+                    co_return ended(EndReason::Overloaded, *displaced);
+                }
                 continue;
             }
             if (m_flow->sends > 0 && !mayRepeat(budget))
@@ -221,6 +235,24 @@
         return &m_gateway.liveService(m_flow->service).lane;
     }
 
+    void recordDisplaced(Duration retryDelay)
+    {
+        const auto milliseconds = [](Duration span) {
+            return std::chrono::duration<double, std::milli>(span).count();
+        };
+        const TimePoint now = m_gateway.now();
+        const Urgency &urgency = m_flow->urgency;
+        m_gateway.metrics.count("waiting", "displaced");
+        m_gateway.log.write("routing", "displaced",
+                            {{"request", m_flow->facts.requestId},
+                             {"priority", urgency.priority},
+                             {"workMs", milliseconds(urgency.work)},
+                             {"onTimeLeftMs", milliseconds(urgency.onTimeUntil - now)},
+                             {"leftMs", milliseconds(urgency.deadline - now)},
+                             {"waitedMs", milliseconds(m_flow->waited)},
+                             {"retryMs", milliseconds(retryDelay)}});
+    }
+
     /// Counts the load of the key for the placer, whether or not the request can be served.
     void recordKeyLoad()
     {
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -24,6 +24,8 @@
 constexpr Duration sendStopMargin = std::chrono::milliseconds(200);
 /// Penalty of a target in another availability zone, in requests per slot.
 constexpr double otherZonePenalty = 0.35;
+/// Least concurrency that is assumed of a target whose rate is limited.
+constexpr double leastConcurrency = 0.01;
 /// Assumed latency of a request while none was measured, in seconds.
 constexpr double unknownRequestSeconds = 0.15;
 
@@ -48,35 +50,46 @@
     return *unwanted + allowed - sendStopMargin;
 }
 
+/// Fills in what the order of waiting requests depends on.
+void estimateNeed(const Gateway &gateway, Flow &flow, const LiveTarget &target)
+{
+    flow.urgency.deadline = flow.deadline;
+    flow.urgency.work = fromSeconds(gateway.averageSeconds(flow.route->name, unknownRequestSeconds)
+                                    * target.gate.slowness());
+    flow.urgency.id = std::hash<std::string>{}(flow.facts.requestId);
+}
+
 /// Waits in a lane, or rejects a request that would miss its deadline there.
-TargetChoice waitOrReject(const Gateway &gateway, const Flow &flow,
-                          const std::shared_ptr<LiveTarget> &target, const WaitingLane &lane,
-                          double concurrency)
+TargetChoice waitOrReject(Gateway &gateway, Flow &flow, const std::shared_ptr<LiveTarget> &target,
+                          WaitingLane &lane, double concurrency)
 {
-    const double each =
-        gateway.averageSeconds(flow.route->name, unknownRequestSeconds) * target->gate.slowness();
-    const auto ahead = static_cast<double>(lane.ahead(flow.urgency, gateway.now()));
-    const Duration wait = fromSeconds((ahead + 1) * each / std::max(concurrency, 1.0));
-    const Duration work = fromSeconds(each / 2);
-    if (gateway.now() + wait + work > flow.deadline)
-        return reject(EndReason::Overloaded, wait / 2);
+    estimateNeed(gateway, flow, *target);
+    const Room room{gateway.now(), {}, std::max(concurrency, 1.0)};
+    const Entry entry = lane.enter(gateway.roomOrder, flow.urgency, room);
+    if (!entry.waits)
+        return reject(EndReason::Overloaded, entry.retryDelay);
     return {Kind::Wait, target, EndReason::Overloaded, {}, safetyRecheckInterval};
 }
 
 /// Waits for the turn of this instance at a target whose rate is limited, or rejects a request that
 /// would miss its deadline. Those that precede it in the lane use the turns before.
-TargetChoice waitForTurn(const Gateway &gateway, const Flow &flow,
+TargetChoice waitForTurn(const Gateway &gateway, Flow &flow,
                          const std::shared_ptr<LiveTarget> &target, const WaitingLane &lane,
                          const SendPermit &permit)
 {
     const TimePoint now = gateway.now();
-    const auto ahead = static_cast<Duration::rep>(lane.ahead(flow.urgency, now));
     const Target *entry = gateway.directory.find(target->entry.id);
     const bool cold = entry != nullptr && entry->cold(now);
-    const TimePoint turn = permit.until + ahead * target->gate.sendInterval(now, cold);
-    const double each =
-        gateway.averageSeconds(flow.route->name, unknownRequestSeconds) * target->gate.slowness();
-    if (turn + fromSeconds(each / 2) > flow.deadline) {
+    const Duration interval = target->gate.sendInterval(now, cold);
+    estimateNeed(gateway, flow, *target);
+    // A request per interval is as much as this many of the expected work at a time.
+    const double concurrency = static_cast<double>(flow.urgency.work.count())
+        / static_cast<double>(std::max(interval, Duration(1)).count());
+    const Room room{now, permit.until - now, std::max(concurrency, leastConcurrency)};
+    const auto ahead =
+        static_cast<Duration::rep>(lane.ahead(gateway.roomOrder, flow.urgency, room));
+    const TimePoint turn = permit.until + ahead * interval;
+    if (turn + flow.urgency.work / 2 > flow.deadline) {
         // Another instance may have its turn sooner.
         return reject(EndReason::Overloaded, std::min(permit.until - now, otherTurnRetryDelay));
     }
@@ -206,7 +219,7 @@
     gateway.metrics.count("held", toString(reason));
     if (allPaused)
         return reject(EndReason::TargetPaused, pausedUntil - now);
-    const WaitingLane &lane = gateway.liveService(flow.service).lane;
+    WaitingLane &lane = gateway.liveService(flow.service).lane;
     TargetChoice choice = limited != nullptr && concurrency == 0
         ? waitForTurn(gateway, flow, limited, lane, nextTurn)
         : waitOrReject(gateway, flow, any, lane, concurrency);
--- a/src/gateway/waiting_lane.cpp
+++ b/src/gateway/waiting_lane.cpp
@@ -1,35 +1,47 @@
 #include "gateway/waiting_lane.hpp"
 
-#include <algorithm>
+#include <vector>
 
 namespace yuccaspan::gateway {
 
-namespace {
-
-/// Half ranks that a late request loses: behind the next lower priority, before the one after it.
-constexpr std::uint32_t lateRankPenalty = 3;
-constexpr std::uint32_t halfRanksPerPriority = 2;
-
-std::uint32_t rank(const Urgency &urgency, TimePoint now) noexcept
+/// Requests in the lane.
+struct WaitingLane::Waiting
 {
-    const std::uint32_t step = now > urgency.onTimeUntil ? lateRankPenalty : 0;
-    return urgency.priority * halfRanksPerPriority + step;
-}
+    std::vector<Waiter *> waiters;
+    std::vector<Urgency> urgencies;
 
-} // namespace
+    void displace(const std::vector<Departure> &leaving) const
+    {
+        for (const Departure &departure : leaving) {
+            // One that is woken already decides on itself again.
+            if (!waiters[departure.index]->woken())
+                waiters[departure.index]->displace(departure.retryDelay);
+        }
+    }
+};
 
-bool WaitingLane::wakeOne(TimePoint now)
+WaitingLane::Waiting WaitingLane::waiting(bool withWoken) const
 {
-    Waiter *first = nullptr;
+    Waiting all;
     for (Waiter *waiter : m_waiters) {
-        if (waiter->woken())
+        if (waiter->woken() && !withWoken)
             continue;
-        if (first == nullptr || rank(waiter->urgency(), now) < rank(first->urgency(), now))
-            first = waiter;
+        all.waiters.push_back(waiter);
+        all.urgencies.push_back(waiter->urgency());
     }
-    if (first == nullptr)
+    return all;
+}
+
+bool WaitingLane::wakeOne(const RoomOrder &order, const Room &room)
+{
+    if (m_waiters.empty())
+        return false;
+    const Waiting all = waiting(false);
+    const RoomPlan plan = order.plan(all.urgencies, room);
+    all.displace(plan.leaving);
+    if (plan.order.empty())
         return false;
-    first->wake();
+    all.waiters[plan.order.front()]->wake();
     return true;
 }
 
@@ -41,11 +53,18 @@
     }
 }
 
-std::size_t WaitingLane::ahead(const Urgency &urgency, TimePoint now) const
+Entry WaitingLane::enter(const RoomOrder &order, const Urgency &newcomer, const Room &room)
+{
+    const Waiting all = waiting(true);
+    Entry entry = order.enter(all.urgencies, newcomer, room);
+    all.displace(entry.displaced);
+    return entry;
+}
+
+std::size_t WaitingLane::ahead(const RoomOrder &order, const Urgency &newcomer,
+                               const Room &room) const
 {
-    const std::uint32_t own = rank(urgency, now);
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_waiters, [&](const Waiter *waiter) { return rank(waiter->urgency(), now) <= own; }));
+    return order.enter(waiting(true).urgencies, newcomer, room).ahead;
 }
 
 } // namespace yuccaspan::gateway
--- a/tests/gateway/test_waiting_lane.cpp
+++ b/tests/gateway/test_waiting_lane.cpp
@@ -54,6 +54,63 @@
     EXPECT_EQ(order, (std::vector<int>{2, 1, 3}));
 }
 
+/// Guards the lane between the order and the requests: a newcomer that can be on time displaces a
+/// late request that would miss its deadline then, which hears so with a retry delay.
+TEST(WaitingLane, newcomerDisplacesWhatCannotMakeItsDeadlineAnyMore)
+{
+    const RoomOrder &order = RoomOrder::of(WaitingOrder::LeastCost);
+    std::vector<int> woken;
+    Recorded late(1, {0, start, start + milliseconds(150), milliseconds(100)}, woken);
+    Recorded patient(2, {2, start + milliseconds(900), start + milliseconds(900), milliseconds(50)},
+                     woken);
+    WaitingLane lane;
+    lane.add(late);
+    lane.add(patient);
+    const Urgency newcomer{0, start + milliseconds(200), start + milliseconds(900),
+                           milliseconds(100)};
+    EXPECT_TRUE(lane.enter(order, newcomer, {start}).waits);
+    EXPECT_EQ(woken, std::vector<int>{1});
+    ASSERT_TRUE(late.displaced());
+    EXPECT_GT(*late.displaced(), Duration::zero());
+    EXPECT_FALSE(patient.displaced());
+    // Nobody is displaced twice.
+    EXPECT_TRUE(lane.enter(order, newcomer, {start}).waits);
+    EXPECT_EQ(woken, std::vector<int>{1});
+}
+
+TEST(WaitingLane, freedRoomAlsoTurnsAwayWhatCannotMakeItsDeadline)
+{
+    std::vector<int> woken;
+    Recorded hopeless(1, {0, start, start + milliseconds(50), milliseconds(100)}, woken);
+    Recorded next(2, {1, start + milliseconds(300), start + milliseconds(900), milliseconds(100)},
+                  woken);
+    WaitingLane lane;
+    lane.add(hopeless);
+    lane.add(next);
+    const RoomOrder &order = RoomOrder::of(WaitingOrder::LeastCost);
+    EXPECT_TRUE(lane.wakeOne(order, {start}));
+    EXPECT_EQ(woken, (std::vector<int>{1, 2}));
+    EXPECT_TRUE(hopeless.displaced());
+    EXPECT_FALSE(next.displaced());
+}
+
+/// The order by urgency turns away a newcomer only, and only for its own deadline.
+TEST(WaitingLane, orderByUrgencyDisplacesNobody)
+{
+    std::vector<int> woken;
+    Recorded hopeless(1, {0, start, start + milliseconds(50), milliseconds(100)}, woken);
+    WaitingLane lane;
+    lane.add(hopeless);
+    const RoomOrder &order = RoomOrder::of(WaitingOrder::Urgency);
+    Urgency newcomer{1, start, start + milliseconds(250), milliseconds(100)};
+    EXPECT_TRUE(lane.enter(order, newcomer, {start}).waits);
+    newcomer.deadline -= Duration(1);
+    const Entry entry = lane.enter(order, newcomer, {start});
+    EXPECT_FALSE(entry.waits);
+    EXPECT_EQ(entry.retryDelay, milliseconds(100));
+    EXPECT_TRUE(woken.empty());
+}
+
 /// Guards against late responses under overload: for 20 s requests arrive at 1.5 times the
 /// capacity. First-in, first-out order would answer nearly all of them late.
 TEST(WaitingLane, servesInTimeUnderSustainedOverload)
--- a/tests/platform/test_target_protocol.cpp
+++ b/tests/platform/test_target_protocol.cpp
@@ -198,6 +198,18 @@
     EXPECT_EQ(readNodeSettings(root.dump()).error().place.pointer, "/pipelineDepth");
 }
 
+TEST(NodeSettings, orderWaitingRequestsAsSet)
+{
+    auto root = nlohmann::json::parse(settingsText);
+    root["waitingOrder"] = "least-cost";
+    EXPECT_EQ(readNodeSettings(root.dump())->gateway.waitingOrder, gateway::WaitingOrder::Urgency);
+    root["contracts"] = {"pressure"};
+    EXPECT_EQ(readNodeSettings(root.dump())->gateway.waitingOrder,
+              gateway::WaitingOrder::LeastCost);
+    root["waitingOrder"] = "random";
+    EXPECT_EQ(readNodeSettings(root.dump()).error().place.pointer, "/waitingOrder");
+}
+
 TEST(NodeSettings, areValidated)
 {
     auto root = nlohmann::json::parse(settingsText);
