--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -53,6 +53,7 @@
     Duration revokeWithin{}; ///< Time until a taken key is refused everywhere; 0: no bound.
     Duration maxHold = std::chrono::seconds(10); ///< Longest grant that targets accept.
     bool competingCallers = false; ///< Whether callers often compete for too little room.
+    WaitingOrder waitingOrder = WaitingOrder::Urgency; ///< Of requests that wait for room.
     std::size_t pipelineDepth = 1; ///< Requests of one connection that are in progress at a time.
     std::size_t pipelineBytes = 262144; ///< Answers that wait on a connection before reading stops.
     std::size_t bodyMemory = defaultBodyMemory(); ///< For all buffered bodies together, in bytes.
@@ -100,6 +101,7 @@
     MetadataStore &store;
     PlatformCodec &codec;
     const GatewayOptions options;
+    const RoomOrder &roomOrder; ///< Of the requests that wait.
     GatewayMetrics metrics;
     const std::shared_ptr<MessageMemory> bodies; ///< Memory of the buffered bodies.
 
@@ -162,6 +164,8 @@
     /// \brief Moving average of a route's latency, in seconds.
     /// \param otherwise Value while none was measured.
     [[nodiscard]] double averageSeconds(const std::string &route, double otherwise) const;
+    /// \brief Requests of this instance in flight at the targets of a service.
+    [[nodiscard]] double inFlight(std::string_view service) const;
     /// \brief Applies a newer desired state.
     void apply(std::shared_ptr<const DesiredState> state);
     /// \brief Applies a shard map unless the known one is as new or newer.
