--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -254,6 +254,8 @@
                 continue;
             logUnreadable(follower.kind, changes->unreadable);
             updateChangedSince(follower.kind, askedAt);
+            if (changes->changedAfter)
+                m_changedSince = std::min(m_changedSince, *changes->changedAfter);
             revision = std::max(revision, changes->revision);
             m_revisions[follower.kind] = revision;
             if (follower.kind == ObjectKind::ShardMaps) {
@@ -321,7 +323,7 @@
                 co_return true;
         }
     } while (newestMap() != before && m_gateway.now() < latest);
-    co_return changes > 1 || newestMap() != read;
+    co_return !m_gateway.store.fromPeers() && (changes > 1 || newestMap() != read);
 }
 
 Duration Control::batchDelayFor(const Follower &follower) const noexcept
@@ -331,7 +333,8 @@
     const auto maxDelay =
         std::chrono::duration_cast<Duration>(m_gateway.options.drainWithin * maxDrainFraction);
     // The answer is read later by the lag of the event loop.
-    return std::clamp(batchDelayPerInstance * m_gateway.share.instances - m_gateway.loopWatch.lag(),
+    return std::clamp(batchDelayPerInstance * m_gateway.store.followers(m_gateway.share.instances)
+                          - m_gateway.loopWatch.lag(),
                       follower.batchDelay, maxDelay);
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -49,6 +49,8 @@
     bool competingCallers = false; ///< Whether callers often compete for too little room.
     std::size_t pipelineDepth = 1; ///< Requests of one connection that are in progress at a time.
     std::size_t pipelineBytes = 262144; ///< Answers that wait on a connection before reading stops.
+    /// Number of known instances from which most hear of changes from others; 0: never.
+    std::uint32_t newsFromInstances = 0;
     std::size_t bodyMemory = defaultBodyMemory(); ///< For all buffered bodies together, in bytes.
 };
 
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -144,7 +144,13 @@
         const auto [failure, bytes] = co_await http::async_read(stream, buffer, request, asTuple);
         if (failure)
             co_return;
-        HttpResponse response = internalResponse(request);
+        HttpResponse response;
+        if (m_news && request.target().starts_with("/news")) {
+            response = co_await m_news(std::move(request.body()));
+            stream.expires_after(internalIdleTimeout);
+        } else {
+            response = internalResponse(request);
+        }
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
         const auto [writeFailure, written] = co_await http::async_write(stream, response, asTuple);
--- a/src/gateway/gateway_server.hpp
+++ b/src/gateway/gateway_server.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace yuccaspan::gateway {
 
@@ -23,6 +24,11 @@
     /// \returns The server, or Unavailable with the address that could not be bound.
     static Result<std::unique_ptr<GatewayServer>> create(Gateway &gateway, StateHandler state);
 
+    /// Answers a peer's question for news.
+    using NewsHandler = std::function<asio::awaitable<HttpResponse>(std::string)>;
+
+    /// \brief Sets who answers peers' questions for news; without, there is no such path.
+    void setNewsHandler(NewsHandler news) { m_news = std::move(news); }
     /// \brief Starts to accept connections.
     void start();
     /// \brief Stops accepting callers; open connections are kept.
@@ -41,6 +47,7 @@
     tcp::acceptor m_readiness;
     tcp::acceptor m_peers;
     StateHandler m_state;
+    NewsHandler m_news;
 };
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -49,6 +49,10 @@
     StoreRevision revision;
     std::size_t unreadable = 0; ///< Objects that were left out because they can't be read.
     bool mayHaveMore = false; ///< Changes only: the store may have cut the answer short.
+    /// When the store was known to have nothing newer; nothing if this is its own answer.
+    std::optional<TimePoint> knownAt;
+    /// Changes only: all happened after this time; nothing if this is the store's own answer.
+    std::optional<TimePoint> changedAfter;
 };
 
 /// \brief Receives a function that cancels a wait, and an empty one when the wait is over.
@@ -93,6 +97,14 @@
     /// \param revision Revision that it replaces; none to create it.
     virtual asio::awaitable<WriteResult> put(ObjectKind kind, const std::string &name,
                                              const std::string &text, StoreRevision revision) = 0;
+    /// \brief Number of instances that follow the store itself and ration their calls together.
+    /// \param instances Number of known instances.
+    [[nodiscard]] virtual std::uint32_t followers(std::uint32_t instances) const
+    {
+        return instances;
+    }
+    /// \brief Whether changes come from other instances, which also send missed shard maps.
+    [[nodiscard]] virtual bool fromPeers() const { return false; }
 };
 
 /// \brief Facts from the headers of a request.
