--- a/src/gateway/news/news_source.hpp
+++ b/src/gateway/news/news_source.hpp
@@ -13,10 +13,10 @@
 struct NewsTiming
 {
     /// A parent answers within this time, also if it has nothing new.
-    Duration heartbeat = std::chrono::milliseconds(500);
-    /// Time without an answer after which a parent is given up. With the time of a question to the
-    /// next one it stays near a second, half of what callers allow for a leaving target.
-    Duration silence = std::chrono::milliseconds(1000);
+    Duration heartbeat = std::chrono::milliseconds(250);
+    /// Time without an answer after which a parent is given up. Changes must be known in 1 s, also
+    /// if two in a row had to be given up.
+    Duration silence = std::chrono::milliseconds(400);
     /// Age of the news after which its source is given up.
     Duration maxAge = std::chrono::milliseconds(1500);
     /// Interval of a reader's checks that the store still answers.
@@ -43,6 +43,8 @@
     [[nodiscard]] std::string peer(TimePoint now);
     /// \brief Whether the store itself is to be followed.
     [[nodiscard]] bool fromStore(TimePoint now) const noexcept;
+    /// \brief Whether the peer that is asked has answered with fresh news.
+    [[nodiscard]] bool heard() const noexcept { return m_heard; }
     /// \brief A peer answered with news of this age.
     void answered(Duration age, TimePoint now);
     /// \brief A peer did not answer, refused or sent what can't be read.
--- a/src/gateway/news/news_store.cpp
+++ b/src/gateway/news/news_store.cpp
@@ -195,7 +195,7 @@
     NewsQuestion question = m_desk.question();
     question.from = m_options.name;
     // A source that has yet to show how old its news is answers at once.
-    question.wait = fromPeers() && m_loggedSource == peer ? m_options.timing.heartbeat : Duration{};
+    question.wait = m_source.heard() ? m_options.timing.heartbeat : Duration{};
     for (const auto &[service, map] : m_gateway->shardMaps)
         question.maps[service] = map.revision;
     HttpRequest request(http::verb::post, "/news", httpVersion11);
--- a/src/gateway/news/news_tree.cpp
+++ b/src/gateway/news/news_tree.cpp
@@ -17,8 +17,10 @@
                       [](const std::string &name) { return std::pair(newsHash(name), name); });
     const auto found = std::ranges::find(zone, self);
     const auto rank = static_cast<std::size_t>(std::distance(zone.begin(), found));
-    if (found == zone.end() || rank < newsReadersPerZone)
+    if (found == zone.end() || zone.size() < newsReadersPerZone)
         return {};
+    if (rank < newsReadersPerZone)
+        return {true, {zone[(rank + 1) % newsReadersPerZone]}};
     std::size_t above = 0;
     std::size_t aboveCount = newsReadersPerZone;
     while (rank >= above + aboveCount + aboveCount * newsFanOut) {
