--- a/src/gateway/news/news_desk.cpp
+++ b/src/gateway/news/news_desk.cpp
@@ -93,6 +93,8 @@
         news.changes.revision = log.newest();
         if (!news.gap && revision < log.newest())
             news.changes = log.changesAfter(revision, maxChanges);
+        else if (news.gap && revision < log.newest())
+            news.changes = log.all(maxNewsObjects);
     }
     if (m_lease) {
         answer.lease = m_lease;
@@ -116,19 +118,26 @@
         // A parent that follows the store of an earlier era knows nothing of this one.
         if (told.era < log.newest().era)
             continue;
-        if (news->second.gap) {
-            // A gap is closed by a list, unless one came meanwhile.
-            if (log.newest() == revision && told > revision)
-                taken.gaps.push_back(kind);
+        const bool isNewer = told > log.newest();
+        if (news->second.gap && isNewer && news->second.changes.mayHaveMore) {
+            taken.gaps.push_back(kind);
             continue;
         }
         // A cut answer doesn't say what followed.
         const TimePoint asOf =
             news->second.changes.mayHaveMore ? log.asOf() : now - onTheWay - news->second.age;
-        if (told > revision)
+        if (news->second.gap && isNewer) {
+            const StoreRevision before = log.newest();
+            log.listed(news->second.changes, asOf);
+            taken.changed |= log.hasAfter(before);
+        } else if (news->second.gap) {
+            // A list came meanwhile, or the parent is behind.
+            log.confirmed(asOf);
+        } else if (told > revision) {
             taken.changed |= log.changed(news->second.changes, revision, asOf);
-        else
+        } else {
             log.confirmed(asOf);
+        }
     }
     if (answer.lease)
         taken.changed |= setLease(*answer.lease, now - onTheWay - answer.leaseAge);
--- a/src/gateway/news/news_log.cpp
+++ b/src/gateway/news/news_log.cpp
@@ -121,4 +121,19 @@
     return changes;
 }
 
+StoredObjects NewsLog::all(std::size_t most) const
+{
+    StoredObjects list;
+    list.revision = m_newest;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.object.deleted)
+            continue;
+        list.mayHaveMore = list.objects.size() >= most;
+        if (list.mayHaveMore)
+            break;
+        list.objects.push_back(entry.object);
+    }
+    return list;
+}
+
 } // namespace yuccaspan::gateway
--- a/src/gateway/news/news_log.hpp
+++ b/src/gateway/news/news_log.hpp
@@ -48,6 +48,9 @@
     /// \brief Changes after a revision, in the order of their revisions.
     /// \param most Changes after which the answer is cut; those of one revision stay together.
     [[nodiscard]] StoredObjects changesAfter(StoreRevision revision, std::size_t most) const;
+    /// \brief All objects.
+    /// \param most Objects after which the list is cut.
+    [[nodiscard]] StoredObjects all(std::size_t most) const;
 
 private:
     struct Entry
--- a/src/gateway/news/news_message.hpp
+++ b/src/gateway/news/news_message.hpp
@@ -26,7 +26,9 @@
 /// \brief News of one kind.
 struct KindNews
 {
-    bool gap = false; ///< The parent doesn't know all changes since; the kind is to be listed.
+    /// The parent doesn't know all changes since. The changes are then a whole list; if that is
+    /// cut, the kind is to be listed at the store.
+    bool gap = false;
     Duration age{}; ///< Since the store was known to have nothing newer.
     StoredObjects changes; ///< After the asked revision, up to its own.
 };
--- a/src/gateway/news/news_source.hpp
+++ b/src/gateway/news/news_source.hpp
@@ -24,7 +24,7 @@
     /// Time over which the instances spread that turn to the store.
     Duration spread = std::chrono::milliseconds(400);
     /// First pause before the preferred parent is tried again; doubles with each failure.
-    Duration retry = std::chrono::seconds(4);
+    Duration retry = std::chrono::seconds(1);
     Duration maxRetry = std::chrono::seconds(64); ///< Longest pause.
 };
 
--- a/tests/gateway/test_news.cpp
+++ b/tests/gateway/test_news.cpp
@@ -236,6 +236,34 @@
               seconds(9));
 }
 
+/// A parent that listed later than its child doesn't know the deletions between.
+TEST(NewsDesk, aGapIsClosedByAListFromTheParent)
+{
+    NewsDesk parent;
+    NewsDesk child;
+    parent.log(kind).listed(objects({object("b", 4), object("c", 8)}, 9), start);
+    child.log(kind).listed(objects({object("a", 3), object("b", 4)}, 5), start);
+    const NewsQuestion question = child.question();
+    // Waits for the regular answer, so that a child that can't close it doesn't ask without pause.
+    EXPECT_FALSE(parent.hasNews(question));
+    const Result<NewsAnswer> answer = decodeNewsAnswer(encodeNews(parent.answer(question, start)));
+    ASSERT_TRUE(answer);
+    EXPECT_TRUE(child.take(*answer, question, start, start).changed);
+    const StoredObjects changes = child.log(kind).changesAfter({1, 5}, 100);
+    ASSERT_EQ(changes.objects.size(), 2U);
+    EXPECT_EQ(changes.objects[0].name, "c");
+    EXPECT_EQ(changes.objects[1].name, "a");
+    EXPECT_TRUE(changes.objects[1].deleted);
+    EXPECT_EQ(changes.revision.number, 9U);
+    // A list that was cut says nothing of what is gone.
+    NewsAnswer cut = *answer;
+    cut.kinds[kind].changes.mayHaveMore = true;
+    NewsDesk other;
+    other.log(kind).listed(objects({object("a", 3)}, 5), start);
+    EXPECT_EQ(other.take(cut, question, start, start).gaps, std::vector<ObjectKind>{kind});
+    EXPECT_EQ(other.log(kind).newest().number, 5U);
+}
+
 TEST(NewsSource, turnsToTheOtherParentThenToTheStoreAndBack)
 {
     const NewsTiming timing;
