News: who turns to the store is woken when its turn comes

A watch that waited for peers' news was woken when the last parent was given up, up to 0.4 s before the store may be asked, and then waited on for up to 17 s.

--- a/src/gateway/news/news_source.cpp
+++ b/src/gateway/news/news_source.cpp
@@ -73,9 +73,10 @@
 
 std::string NewsSource::inUse(TimePoint now) const
 {
-    if (fromStore(now) || m_index >= m_place.parents.size())
+    if (fromStore(now))
         return "store";
-    return m_place.parents[m_index];
+    // The turn to the store is a change of its own, by which those who wait are woken.
+    return m_index < m_place.parents.size() ? m_place.parents[m_index] : "none";
 }
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/news/news_source.hpp
+++ b/src/gateway/news/news_source.hpp
@@ -49,7 +49,7 @@
     void answered(Duration age, TimePoint now);
     /// \brief A peer did not answer, refused or sent what can't be read.
     void failed(TimePoint now);
-    /// \brief Name of the source in use: a peer, or "store".
+    /// \brief Name of the source in use: a peer, "store", or "none" for a moment before it.
     [[nodiscard]] std::string inUse(TimePoint now) const;
 
 private:
--- a/tests/gateway/test_news.cpp
+++ b/tests/gateway/test_news.cpp
@@ -280,6 +280,7 @@
     EXPECT_FALSE(source.fromStore(now));
     source.failed(now);
     EXPECT_EQ(source.peer(now), "");
+    EXPECT_EQ(source.inUse(now), "none");
     EXPECT_TRUE(source.fromStore(now + timing.spread));
     EXPECT_EQ(source.inUse(now + timing.spread), "store");
     // While parents are tried again, the store is followed until one answers.
--- a/tests/platform/test_target_protocol.cpp
+++ b/tests/platform/test_target_protocol.cpp
@@ -186,6 +186,14 @@
     EXPECT_EQ(settings->storeAddress, "10.0.0.2:83");
 }
 
+TEST(NodeSettings, followTheStoreUnlessTheyAskForPeersNews)
+{
+    auto root = nlohmann::json::parse(settingsText);
+    EXPECT_EQ(readNodeSettings(root.dump())->gateway.newsFromInstances, 0U);
+    root["newsFromInstances"] = 30;
+    EXPECT_EQ(readNodeSettings(root.dump())->gateway.newsFromInstances, 30U);
+}
+
 TEST(NodeSettings, pipelinesOnlyUnderItsContract)
 {
     auto root = nlohmann::json::parse(settingsText);
