--- a/tests/gateway/test_news_store.cpp
+++ b/tests/gateway/test_news_store.cpp
@@ -201,6 +201,20 @@
     EXPECT_EQ(fixture.child->news.followers(3), 1U);
 }
 
+/// Guards against a watch that waits on for 17 s after its parents were given up.
+TEST(NewsStore, aChildWithoutParentsTurnsToTheStore)
+{
+    NewsFixture fixture(3);
+    fixture.loop.run_for(seconds(1));
+    ASSERT_TRUE(fixture.child->news.fromPeers());
+    for (const auto &instance : fixture.all)
+        instance->gateway.stopping = instance.get() != fixture.child;
+    fixture.loop.run_for(milliseconds(1200));
+    fixture.change("t");
+    fixture.loop.run_for(milliseconds(200));
+    EXPECT_EQ(fixture.child->seen, std::vector<std::string>{"t"});
+}
+
 TEST(NewsStore, thePlacerAndWhoHearsNothingFollowTheStore)
 {
     NewsFixture fixture(3);
