--- a/src/gateway/news/news_desk.cpp
+++ b/src/gateway/news/news_desk.cpp
@@ -130,10 +130,7 @@
             const StoreRevision before = log.newest();
             log.listed(news->second.changes, asOf);
             taken.changed |= log.hasAfter(before);
-        } else if (news->second.gap) {
-            // A list came meanwhile, or the parent is behind.
-            log.confirmed(asOf);
-        } else if (told > revision) {
+        } else if (!news->second.gap && told > revision) {
             taken.changed |= log.changed(news->second.changes, revision, asOf);
         } else {
             log.confirmed(asOf);
