--- a/src/gateway/news/news_tree.hpp
+++ b/src/gateway/news/news_tree.hpp
@@ -26,7 +26,8 @@
 /// places of the one above, dealt evenly; both parents are of the layer above, so that one view
 /// has no cycle but that of the readers. These ask each other, so that one that is cut from the
 /// store still has news for its children. Two views may have one; the age of the news grows in it
-/// until it is left. \param zone Names of the instances of the zone, in any order.
+/// until it is left.
+/// \param zone Names of the instances of the zone, in any order.
 [[nodiscard]] NewsPlace newsPlace(std::vector<std::string> zone, const std::string &self);
 
 /// \brief A hash of a name, equal in all instances.
--- a/src/gateway/state_check/desired_state_diff.cpp
+++ b/src/gateway/state_check/desired_state_diff.cpp
@@ -88,8 +88,11 @@
 {
     for (const auto &[name, value] : after) {
         const std::string &old = before.at(name);
-        if (old != value)
-            changes.push_back({entry, name + " " + old + " -> " + value});
+        if (old == value)
+            continue;
+        std::ostringstream text;
+        text << name << ' ' << old << " -> " << value;
+        changes.push_back({entry, text.str()});
     }
 }
 
--- a/src/gateway/workspaces/allowance_exchange.cpp
+++ b/src/gateway/workspaces/allowance_exchange.cpp
@@ -463,7 +463,7 @@
                 pledge.appendEnds(times);
         }
         std::ranges::sort(times);
-        times.erase(std::ranges::unique(times).begin(), times.end());
+        times.erase(std::unique(times.begin(), times.end()), times.end());
         std::erase_if(times, [end](TimePoint time) { return time >= end; });
         const auto fits = [&](double factor) {
             return std::ranges::all_of(times, [&](TimePoint time) {
