Logs and metrics: since when a change holds, and how the instance learned of it

The logs couldn't tell apart whether an instance learned of a change too late or dated it too late, nor whether an older state replaced a newer one: changes had no source and no estimated time, and evacuations that came by a list weren't logged.

- `origin` and `sinceMs` in the lines of changes; `zone-out` and `zone-in` whatever brought them.
- `yuccaspan_change_age_seconds`, a histogram by origin.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -75,6 +75,7 @@
     if (revision <= m_revisions[kind])
         return false;
     updateChangedSince(kind, m_gateway.now());
+    m_changeOrigin = ChangeOrigin::PeerState;
     m_revisions[kind] = revision;
     m_relist.insert(kind);
     return true;
@@ -191,6 +192,16 @@
     m_gateway.log.write("store", "unreadable", {{"kind", int(kind)}, {"objects", count}});
 }
 
+/// Logs a change with its origin, and how long ago it can have taken effect at the earliest.
+void Control::logChange(std::string_view part, std::string_view event, nlohmann::json fields)
+{
+    const Duration age = m_gateway.now() - m_changedSince;
+    fields["origin"] = toString(m_changeOrigin);
+    fields["sinceMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    m_gateway.metrics.changeAge(toString(m_changeOrigin), age);
+    m_gateway.log.write(part, event, std::move(fields));
+}
+
 /// Records the earliest time at which the changes in an answer can have taken effect.
 void Control::updateChangedSince(ObjectKind kind, TimePoint askedAt)
 {
@@ -215,6 +226,7 @@
     logUnreadable(follower.kind, listed->unreadable);
     // A list may be delayed; its changes happened at any time since the previous answer.
     updateChangedSince(follower.kind, m_gateway.now());
+    m_changeOrigin = ChangeOrigin::StoreList;
     revision = listed->revision;
     m_revisions[follower.kind] = revision;
     (this->*follower.onListed)(listed->objects);
@@ -270,6 +282,7 @@
             updateChangedSince(follower.kind, askedAt);
             if (changes->changedAfter)
                 m_changedSince = std::min(m_changedSince, *changes->changedAfter);
+            m_changeOrigin = changes->knownAt ? ChangeOrigin::PeerNews : ChangeOrigin::StoreWatch;
             revision = std::max(revision, changes->revision);
             m_revisions[follower.kind] = revision;
             if (follower.kind == ObjectKind::ShardMaps) {
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -16,6 +16,14 @@
 
 namespace yuccaspan::gateway {
 
+/// \brief How an instance learned of a change.
+enum class ChangeOrigin {
+    StoreList,
+    StoreWatch,
+    PeerNews, ///< News of a peer, or the log that holds them.
+    PeerState, ///< State of a peer, requested while the store is unavailable.
+};
+
 /// \brief Follows the store and, with the placer lease, places keys.
 class Control
 {
@@ -67,6 +75,7 @@
     asio::awaitable<void> follow(Follower follower);
     asio::awaitable<bool> listAll(const Follower &follower, StoreRevision &revision);
     void logUnreadable(ObjectKind kind, std::size_t count);
+    void logChange(std::string_view part, std::string_view event, nlohmann::json fields);
     void updateChangedSince(ObjectKind kind, TimePoint askedAt);
     asio::awaitable<void> batchChanges(const Follower &follower);
     asio::awaitable<bool> batchMapChanges(std::size_t changes);
@@ -149,8 +158,21 @@
     std::map<ObjectKind, StoreRevision> m_revisions; ///< Store revision last read, by kind.
     std::map<ObjectKind, TimePoint> m_answeredAt; ///< Last answer, by kind.
     TimePoint m_changedSince{}; ///< Earliest time of the changes being applied.
+    ChangeOrigin m_changeOrigin = ChangeOrigin::StoreList; ///< Of the changes being applied.
     StoredObject m_settings; ///< The desired state in force, as stored.
     PeerLink m_peers;
 };
 
 } // namespace yuccaspan::gateway
+
+/// \brief Names of the origins in logs and metrics.
+template <>
+struct yuccaspan::EnumNames<yuccaspan::gateway::ChangeOrigin>
+{
+    static constexpr std::array<EnumName<gateway::ChangeOrigin>, 4> table{{
+        {gateway::ChangeOrigin::StoreList, "store-list"},
+        {gateway::ChangeOrigin::StoreWatch, "store-watch"},
+        {gateway::ChangeOrigin::PeerNews, "peer-news"},
+        {gateway::ChangeOrigin::PeerState, "peer-state"},
+    }};
+};
--- a/src/gateway/control_changes.cpp
+++ b/src/gateway/control_changes.cpp
@@ -53,10 +53,10 @@
     m_gateway.directory.replaceAll(named, m_gateway.now(), m_changedSince);
     m_gateway.targetsKnown = true;
     applyEvacuations();
-    m_gateway.log.write("membership", "listed",
-                        {{"targets", entries.size()},
-                         {"unnamed", m_unnamedTargets.size()},
-                         {"revision", revisionJson(m_revisions[ObjectKind::Targets])}});
+    logChange("membership", "listed",
+              {{"targets", entries.size()},
+               {"unnamed", m_unnamedTargets.size()},
+               {"revision", revisionJson(m_revisions[ObjectKind::Targets])}});
 }
 
 /// Adds the targets whose service is in the desired state by now.
@@ -78,8 +78,8 @@
     m_unnamedTargets.erase(object.name);
     if (object.deleted) {
         m_gateway.directory.remove(object.name, now, m_changedSince);
-        m_gateway.log.write("membership", "target-gone",
-                            {{"target", object.name}, {"revision", revisionJson(object.revision)}});
+        logChange("membership", "target-gone",
+                  {{"target", object.name}, {"revision", revisionJson(object.revision)}});
         m_gateway.wakeAll();
         return;
     }
@@ -105,13 +105,13 @@
     }
     if (!m_gateway.directory.put(*entry, now, m_changedSince))
         return;
-    m_gateway.log.write("membership", entry->draining ? "target-drains" : "target-ready",
-                        {{"target", entry->id},
-                         {"service", entry->service},
-                         {"zone", entry->zone},
-                         {"address", entry->address},
-                         {"incarnation", entry->incarnation},
-                         {"revision", revisionJson(object.revision)}});
+    logChange("membership", entry->draining ? "target-drains" : "target-ready",
+              {{"target", entry->id},
+               {"service", entry->service},
+               {"zone", entry->zone},
+               {"address", entry->address},
+               {"incarnation", entry->incarnation},
+               {"revision", revisionJson(object.revision)}});
     m_gateway.wakeAll();
 }
 
@@ -134,11 +134,11 @@
     const std::uint64_t known = m_gateway.desired ? m_gateway.desired->version : 0;
     if (m_gateway.desired && state->version <= known)
         return;
-    m_gateway.log.write("settings", "in-force",
-                        {{"version", state->version},
-                         {"before", known},
-                         {"routes", state->routes.size()},
-                         {"revision", revisionJson(object.revision)}});
+    logChange("settings", "in-force",
+              {{"version", state->version},
+               {"before", known},
+               {"routes", state->routes.size()},
+               {"revision", revisionJson(object.revision)}});
     m_settings = object;
     m_gateway.apply(std::make_shared<DesiredState>(std::move(*state)));
     adoptNamedTargets();
@@ -165,9 +165,17 @@
 /// meanwhile, so it stays out until their entries have been read as of its return.
 void Control::setEvacuated(std::set<std::string, std::less<>> zones)
 {
+    const StoreRevision revision = m_revisions[ObjectKind::Evacuations];
+    for (const std::string &zone : zones) {
+        if (!m_evacuated.contains(zone))
+            logChange("settings", "zone-out",
+                      {{"zone", zone}, {"revision", revisionJson(revision)}});
+    }
     for (const std::string &zone : m_evacuated) {
-        if (!zones.contains(zone))
-            m_returning[zone] = m_revisions[ObjectKind::Evacuations];
+        if (zones.contains(zone))
+            continue;
+        logChange("settings", "zone-in", {{"zone", zone}, {"revision", revisionJson(revision)}});
+        m_returning[zone] = revision;
     }
     m_evacuated = std::move(zones);
     std::erase_if(m_returning,
@@ -201,8 +209,6 @@
 
 void Control::onEvacuationChanged(const StoredObject &object)
 {
-    m_gateway.log.write("settings", object.deleted ? "zone-in" : "zone-out",
-                        {{"zone", object.name}, {"revision", revisionJson(object.revision)}});
     std::set<std::string, std::less<>> zones = m_evacuated;
     if (object.deleted)
         zones.erase(object.name);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -43,6 +43,12 @@
                                      .Help("How late the event loop runs what is due.")
                                      .Register(registry)
                                      .Add({}, lagBounds);
+    prometheus::Family<prometheus::Histogram> &changeAges =
+        prometheus::BuildHistogram()
+            .Name("yuccaspan_change_age_seconds")
+            .Help("Longest possible time from a change at the store until it came into force.")
+            .Register(registry);
+    std::map<std::string, prometheus::Histogram *, std::less<>> changeAgeHistograms;
     std::map<Labels, prometheus::Counter *> requestCounters;
     std::map<std::string, prometheus::Histogram *> histograms;
     std::map<Labels, prometheus::Counter *, std::less<>> eventCounters;
@@ -77,6 +83,14 @@
     counter->Increment(static_cast<double>(times));
 }
 
+void GatewayMetrics::changeAge(std::string_view origin, Duration age)
+{
+    prometheus::Histogram *&histogram = m_state->changeAgeHistograms[std::string(origin)];
+    if (histogram == nullptr)
+        histogram = &m_state->changeAges.Add({{"origin", std::string(origin)}}, lagBounds);
+    histogram->Observe(std::chrono::duration<double>(age).count());
+}
+
 void GatewayMetrics::loopLag(Duration lag)
 {
     m_state->lag.Observe(std::chrono::duration<double>(lag).count());
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -25,6 +25,9 @@
     void request(const std::string &route, std::string_view outcome, Duration latency);
     /// \brief Counts an event by name, such as a call to the store.
     void count(std::string_view event, std::string_view label, std::uint64_t times = 1);
+    /// \brief Records how long ago a change that comes into force can have taken effect at most.
+    /// \param origin How the instance learned of it.
+    void changeAge(std::string_view origin, Duration age);
     /// \brief Records the lag of the event loop.
     void loopLag(Duration lag);
     /// \brief All metrics in the Prometheus text format.
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -9,10 +9,12 @@
 #include "gateway/target_directory.hpp"
 #include "gateway/target_gate.hpp"
 #include "gateway/target_signals.hpp"
+#include "yuccaspan/enum_names.hpp"
 #include "yuccaspan/result.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -167,3 +169,17 @@
 };
 
 } // namespace yuccaspan::gateway
+
+/// \brief Names of the kinds in logs and metrics.
+template <>
+struct yuccaspan::EnumNames<yuccaspan::gateway::ObjectKind>
+{
+    static constexpr std::array<EnumName<gateway::ObjectKind>, 6> table{{
+        {gateway::ObjectKind::Targets, "targets"},
+        {gateway::ObjectKind::Settings, "settings"},
+        {gateway::ObjectKind::Evacuations, "evacuations"},
+        {gateway::ObjectKind::Instances, "instances"},
+        {gateway::ObjectKind::Leases, "leases"},
+        {gateway::ObjectKind::ShardMaps, "shard-maps"},
+    }};
+};
