--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -1,7 +1,5 @@
 #include "gateway/control.hpp"
 
-#include "gateway/change_time.hpp"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -34,6 +32,8 @@
 constexpr Duration staleMapCheckInterval = std::chrono::milliseconds(500);
 /// Not urgent: the number of instances only divides budgets.
 constexpr Duration instancesBatchDelay = std::chrono::milliseconds(1000);
+/// Exceeds every bound that counts from a change; nothing depends on how much older one is.
+constexpr Duration maxChangeAge = std::chrono::seconds(30);
 
 } // namespace
 
@@ -51,7 +51,11 @@
     hooks.isPlacer = [this] { return placing(); };
     hooks.storeUnavailable = [this] { return m_storeUnavailable; };
     hooks.state = [this] { return sharedState(); };
-    hooks.settings = [this](const StoredObject &object) { onSettingsChanged(object); };
+    hooks.settings = [this](const StoredObject &object) {
+        dateChanges(m_evidence.changedSince(ObjectKind::Settings, object.revision));
+        m_changeOrigin = ChangeOrigin::PeerState;
+        onSettingsChanged(object);
+    };
     hooks.targets = [this](const std::vector<TargetEntry> &entries, StoreRevision revision) {
         if (!acceptFromPeer(ObjectKind::Targets, revision))
             return;
@@ -62,6 +66,10 @@
             return;
         setListedEvacuations({zones.begin(), zones.end()});
     };
+    hooks.mark = [this] { return m_evidence.mark(m_gateway.now()); };
+    hooks.takeMark = [this](const StoreMark &mark, TimePoint askedAt) {
+        m_evidence.take(mark, askedAt);
+    };
     return hooks;
 }
 
@@ -74,9 +82,10 @@
         return false;
     if (revision <= m_revisions[kind])
         return false;
-    updateChangedSince(kind, m_gateway.now());
+    dateChanges(m_evidence.provenAt(kind));
     m_changeOrigin = ChangeOrigin::PeerState;
     m_revisions[kind] = revision;
+    m_evidence.applied(kind, revision, {});
     m_relist.insert(kind);
     return true;
 }
@@ -202,13 +211,25 @@
     m_gateway.log.write(part, event, std::move(fields));
 }
 
-/// Records the earliest time at which the changes in an answer can have taken effect.
-void Control::updateChangedSince(ObjectKind kind, TimePoint askedAt)
+/// Sets the earliest time at which the changes that are applied next can have taken effect.
+void Control::dateChanges(TimePoint since)
 {
     const TimePoint now = m_gateway.now();
-    TimePoint &answeredAt = m_answeredAt.try_emplace(kind, now).first->second;
-    m_changedSince = earliestChange(now, askedAt, answeredAt);
-    answeredAt = now;
+    m_changedSince = std::clamp(since, now - maxChangeAge, now);
+}
+
+/// Records what an answer proves, once its changes are in force.
+/// \param asOf Time up to which the store's answer holds all changes.
+void Control::recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf)
+{
+    StoreRevision lastChange;
+    for (const StoredObject &object : answer.objects)
+        lastChange = std::max(lastChange, object.revision);
+    m_evidence.applied(kind, answer.revision, lastChange);
+    // A store from a copy may lack changes until they have been written again.
+    const bool fromStore = !answer.knownAt && !answer.mayHaveMore && !inEraGrace();
+    if (fromStore)
+        m_evidence.proven(kind, asOf);
 }
 
 asio::awaitable<bool> Control::listAll(const Follower &follower, StoreRevision &revision)
@@ -224,12 +245,13 @@
     if (eraBefore != m_era)
         m_relist.erase(follower.kind);
     logUnreadable(follower.kind, listed->unreadable);
-    // A list may be delayed; its changes happened at any time since the previous answer.
-    updateChangedSince(follower.kind, m_gateway.now());
+    dateChanges(m_evidence.provenAt(follower.kind));
     m_changeOrigin = ChangeOrigin::StoreList;
     revision = listed->revision;
     m_revisions[follower.kind] = revision;
     (this->*follower.onListed)(listed->objects);
+    recordAnswer(follower.kind, *listed, askedAt);
+    m_evidence.observed(listed->revision, askedAt);
     // A store from a copy may lack the newest settings until the operator has written them again.
     if (follower.kind == ObjectKind::Settings && !inEraGrace())
         m_gateway.keyFreshness.currentAsOf(askedAt);
@@ -279,9 +301,6 @@
             if (m_relist.contains(follower.kind))
                 continue;
             logUnreadable(follower.kind, changes->unreadable);
-            updateChangedSince(follower.kind, askedAt);
-            if (changes->changedAfter)
-                m_changedSince = std::min(m_changedSince, *changes->changedAfter);
             m_changeOrigin = changes->knownAt ? ChangeOrigin::PeerNews : ChangeOrigin::StoreWatch;
             revision = std::max(revision, changes->revision);
             m_revisions[follower.kind] = revision;
@@ -289,14 +308,19 @@
                 // Each event holds a whole map. Once the newest is applied, the others are skipped.
                 std::ranges::reverse(changes->objects);
             }
-            for (const StoredObject &object : changes->objects)
+            for (const StoredObject &object : changes->objects) {
+                dateChanges(m_evidence.changedSince(follower.kind, object.revision));
                 (this->*follower.onChanged)(object);
-            const bool complete = !changes->mayHaveMore && !inEraGrace();
-            if (follower.kind == ObjectKind::Settings && complete) {
-                const Duration waited = changes->objects.empty() ? wait : Duration::zero();
-                m_gateway.keyFreshness.currentAsOf(
-                    KeyFreshness::answeredAsOf(askedAt, waited, m_gateway.now()));
             }
+            const Duration waited = changes->objects.empty() ? wait : Duration::zero();
+            const TimePoint asOf = KeyFreshness::answeredAsOf(askedAt, waited, m_gateway.now());
+            const bool complete = !changes->mayHaveMore && !inEraGrace();
+            if (follower.kind == ObjectKind::Settings && complete)
+                m_gateway.keyFreshness.currentAsOf(asOf);
+            recordAnswer(follower.kind, *changes, asOf);
+            // With changes, the revision may be that of the last one.
+            if (!changes->knownAt && changes->objects.empty())
+                m_evidence.observed(changes->revision, asOf);
             if (follower.kind == ObjectKind::Targets && !m_returning.empty())
                 applyEvacuations();
             if (changes->objects.empty())
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -3,6 +3,7 @@
 /// the placer lease.
 #pragma once
 
+#include "gateway/evidence/store_evidence.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/peer_link.hpp"
 #include "gateway/placer_lease.hpp"
@@ -76,7 +77,8 @@
     asio::awaitable<bool> listAll(const Follower &follower, StoreRevision &revision);
     void logUnreadable(ObjectKind kind, std::size_t count);
     void logChange(std::string_view part, std::string_view event, nlohmann::json fields);
-    void updateChangedSince(ObjectKind kind, TimePoint askedAt);
+    void dateChanges(TimePoint since);
+    void recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf);
     asio::awaitable<void> batchChanges(const Follower &follower);
     asio::awaitable<bool> batchMapChanges(std::size_t changes);
     [[nodiscard]] StoreRevision newestMap() const noexcept;
@@ -156,7 +158,7 @@
     std::set<ObjectKind> m_relist; ///< Kinds to list before they are watched again.
     std::map<std::string, std::string> m_instances; ///< Peer address by name.
     std::map<ObjectKind, StoreRevision> m_revisions; ///< Store revision last read, by kind.
-    std::map<ObjectKind, TimePoint> m_answeredAt; ///< Last answer, by kind.
+    StoreEvidence m_evidence;
     TimePoint m_changedSince{}; ///< Earliest time of the changes being applied.
     ChangeOrigin m_changeOrigin = ChangeOrigin::StoreList; ///< Of the changes being applied.
     StoredObject m_settings; ///< The desired state in force, as stored.
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -112,6 +112,7 @@
         co_return;
     if (written.end == WriteEnd::Stored) {
         m_lease.stored(record, written.object.revision, sentAt);
+        m_evidence.observed(written.object.revision, sentAt);
         m_wasPlacing = true;
         m_gateway.log.write(
             "placement", "lease-taken",
@@ -136,6 +137,7 @@
         co_return;
     if (written.end == WriteEnd::Stored) {
         m_lease.stored(record, written.object.revision, sentAt);
+        m_evidence.observed(written.object.revision, sentAt);
         co_return;
     }
     if (written.end != WriteEnd::Conflict)
@@ -347,12 +349,15 @@
         if (placing == nullptr)
             co_return;
         const std::uint64_t era = m_era.value_or(0);
+        const TimePoint sentAt = m_gateway.now();
         const WriteResult written =
             co_await m_gateway.store.put(ObjectKind::ShardMaps, service, text, placing->revision);
         if (!storedInEra(written, era)) {
             co_await pause(storePause);
             continue;
         }
+        if (written.end == WriteEnd::Stored)
+            m_evidence.observed(written.object.revision, sentAt);
         placing = findPlacing(service, id);
         if (placing == nullptr)
             co_return;
--- /dev/null
+++ b/src/gateway/evidence/store_evidence.cpp
@@ -0,0 +1,83 @@
+#include "gateway/evidence/store_evidence.hpp"
+
+#include <algorithm>
+
+namespace yuccaspan::gateway {
+
+void StoreEvidence::observed(StoreRevision revision, TimePoint asOf)
+{
+    if (!revision.known())
+        return;
+    if (m_revisions.empty() || m_revisions.back().revision < revision) {
+        const bool dense =
+            m_revisions.size() > 1 && asOf - (m_revisions.end() - 2)->asOf < revisionInterval;
+        if (dense)
+            m_revisions.pop_back();
+        if (m_revisions.empty() || m_revisions.back().asOf < asOf)
+            m_revisions.push_back({revision, asOf});
+        if (m_revisions.size() > maxRevisions)
+            m_revisions.pop_front();
+    } else if (m_revisions.back().revision == revision) {
+        m_revisions.back().asOf = std::max(m_revisions.back().asOf, asOf);
+    }
+}
+
+void StoreEvidence::applied(ObjectKind kind, StoreRevision upTo, StoreRevision lastChange)
+{
+    Kind &known = m_kinds[kind];
+    known.upTo = std::max(known.upTo, upTo);
+    known.lastChange = std::max(known.lastChange, lastChange);
+}
+
+void StoreEvidence::proven(ObjectKind kind, TimePoint asOf)
+{
+    Kind &known = m_kinds[kind];
+    known.provenAt = std::max(known.provenAt, asOf);
+}
+
+TimePoint StoreEvidence::provenAt(ObjectKind kind) const
+{
+    const auto found = m_kinds.find(kind);
+    return found == m_kinds.end() ? TimePoint{} : found->second.provenAt;
+}
+
+TimePoint StoreEvidence::changedSince(ObjectKind kind, StoreRevision change) const
+{
+    const auto found = m_kinds.find(kind);
+    if (found == m_kinds.end())
+        return {};
+    TimePoint since = found->second.provenAt;
+    if (change <= found->second.upTo)
+        return since;
+    for (const Revision &earlier : m_revisions) {
+        // Revisions of another era are other changes.
+        if (earlier.revision.era == change.era && earlier.revision < change)
+            since = std::max(since, earlier.asOf);
+    }
+    return since;
+}
+
+StoreMark StoreEvidence::mark(TimePoint now) const
+{
+    StoreMark mark;
+    for (const auto &[kind, known] : m_kinds)
+        mark.kinds[kind] = {known.lastChange, now - known.provenAt};
+    for (const Revision &revision : m_revisions)
+        mark.revisions.emplace_back(revision.revision, now - revision.asOf);
+    return mark;
+}
+
+void StoreEvidence::take(const StoreMark &mark, TimePoint askedAt)
+{
+    for (const auto &[revision, age] : mark.revisions)
+        observed(revision, askedAt - age);
+    for (const auto &[kind, marked] : mark.kinds) {
+        const auto known = m_kinds.find(kind);
+        const bool hasAll = known != m_kinds.end() && marked.lastChange.known()
+            && marked.lastChange <= known->second.upTo;
+        if (hasAll)
+            proven(kind, askedAt - marked.age);
+    }
+}
+
+} // namespace yuccaspan::gateway
--- /dev/null
+++ b/src/gateway/evidence/store_mark.cpp
@@ -0,0 +1,99 @@
+#include "gateway/evidence/store_mark.hpp"
+
+#include "gateway/datagram_key.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr char questionKey = '?';
+constexpr char answerKey = '!';
+/// Ages are capped, so that one of a clock that was never set can be written.
+constexpr Duration maxAge = std::chrono::hours(1);
+
+json ageJson(Duration age)
+{
+    // Rounded up to whole milliseconds: a greater age is the safe error.
+    const auto whole = std::chrono::ceil<std::chrono::milliseconds>(std::min(age, maxAge));
+    return whole.count();
+}
+
+Duration ageOf(const json &value)
+{
+    const std::chrono::milliseconds age(value.get<std::int64_t>());
+    if (age < Duration::zero() || age > maxAge)
+        throw json::other_error::create(0, "age out of range", &value);
+    return age;
+}
+
+json timeJson(TimePoint time)
+{
+    return time.time_since_epoch().count();
+}
+
+TimePoint timeOf(const json &value)
+{
+    return TimePoint(Duration(value.get<Duration::rep>()));
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encodeMarkQuestion(TimePoint askedAt)
+{
+    return json::to_cbor(json{{std::string(1, questionKey), timeJson(askedAt)}});
+}
+
+std::optional<TimePoint> decodeMarkQuestion(const std::vector<std::uint8_t> &bytes) noexcept
+{
+    if (!startsWithKey(bytes, questionKey))
+        return std::nullopt;
+    const json root = json::from_cbor(bytes, true, false);
+    const auto time = root.is_object() ? root.find(std::string(1, questionKey)) : root.end();
+    if (time == root.end() || !time->is_number_integer())
+        return std::nullopt;
+    return timeOf(*time);
+}
+
+std::vector<std::uint8_t> encodeMarkAnswer(const MarkAnswer &answer)
+{
+    json kinds = json::object();
+    for (const auto &[kind, marked] : answer.mark.kinds)
+        kinds[toString(kind)] = {revisionJson(marked.lastChange), ageJson(marked.age)};
+    json revisions = json::array();
+    for (const auto &[revision, age] : answer.mark.revisions)
+        revisions.push_back({revisionJson(revision), ageJson(age)});
+    return json::to_cbor(json{{std::string(1, answerKey), timeJson(answer.askedAt)},
+                              {"kinds", std::move(kinds)},
+                              {"revisions", std::move(revisions)}});
+}
+
+bool isMarkAnswer(const std::vector<std::uint8_t> &bytes) noexcept
+{
+    return startsWithKey(bytes, answerKey);
+}
+
+Result<MarkAnswer> decodeMarkAnswer(const std::vector<std::uint8_t> &bytes)
+{
+    try {
+        const json root = json::from_cbor(bytes);
+        MarkAnswer answer;
+        answer.askedAt = timeOf(root.at(std::string(1, answerKey)));
+        for (const auto &item : root.at("kinds").items()) {
+            // An instance of a later version may know further kinds.
+            if (const auto kind = fromString<ObjectKind>(item.key()))
+                answer.mark.kinds[*kind] = {revisionOf(item.value().at(0)),
+                                            ageOf(item.value().at(1))};
+        }
+        for (const json &item : root.at("revisions"))
+            answer.mark.revisions.emplace_back(revisionOf(item.at(0)), ageOf(item.at(1)));
+        return answer;
+    } catch (const json::exception &failure) {
+        return Error{ErrorCode::ParseFailed, failure.what(), {}};
+    }
+}
+
+} // namespace yuccaspan::gateway
--- a/src/gateway/news/news_log.cpp
+++ b/src/gateway/news/news_log.cpp
@@ -13,10 +13,10 @@
 void NewsLog::put(StoredObject object)
 {
     const auto [found, isNew] = m_entries.try_emplace(object.name);
-    const bool wasDeleted = !isNew && found->second.object.deleted;
+    const bool wasDeleted = !isNew && found->second.deleted;
     m_deletions += std::size_t(object.deleted) - std::size_t(wasDeleted);
     m_lastChange = std::max(m_lastChange, object.revision);
-    found->second = {std::move(object), m_asOf};
+    found->second = std::move(object);
 }
 
 /// Drops the oldest deletions, and so the history up to them.
@@ -25,12 +25,12 @@
     while (m_deletions > maxDeletions) {
         auto oldest = m_entries.end();
         for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry) {
-            const StoredObject &object = entry->second.object;
+            const StoredObject &object = entry->second;
             if (object.deleted
-                && (oldest == m_entries.end() || object.revision < oldest->second.object.revision))
+                && (oldest == m_entries.end() || object.revision < oldest->second.revision))
                 oldest = entry;
         }
-        m_base = std::max(m_base, oldest->second.object.revision);
+        m_base = std::max(m_base, oldest->second.revision);
         m_entries.erase(oldest);
         --m_deletions;
     }
@@ -48,10 +48,10 @@
     for (const StoredObject &object : list.objects)
         present[object.name] = &object;
     std::vector<StoredObject> gone;
-    for (const auto &[name, entry] : m_entries) {
-        if (entry.object.deleted || present.contains(name))
+    for (const auto &[name, object] : m_entries) {
+        if (object.deleted || present.contains(name))
             continue;
-        gone.push_back({name, list.revision, true, entry.object.body, {}});
+        gone.push_back({name, list.revision, true, object.body, {}});
     }
     for (StoredObject &object : gone)
         put(std::move(object));
@@ -74,7 +74,7 @@
     for (const StoredObject &object : changes.objects) {
         const auto entry = m_entries.find(object.name);
         const StoreRevision last =
-            entry == m_entries.end() ? StoreRevision{} : entry->second.object.revision;
+            entry == m_entries.end() ? StoreRevision{} : entry->second.revision;
         if (!object.deleted) {
             if (object.revision <= before || object.revision <= last)
                 continue;
@@ -84,7 +84,7 @@
             StoredObject deletion = object;
             if (deletion.revision <= before)
                 deletion.revision = changes.revision;
-            const bool present = entry != m_entries.end() && !entry->second.object.deleted;
+            const bool present = entry != m_entries.end() && !entry->second.deleted;
             if (!present || last > object.revision || deletion.revision <= before)
                 continue;
             put(std::move(deletion));
@@ -99,24 +99,22 @@
 
 StoredObjects NewsLog::changesAfter(StoreRevision revision, std::size_t most) const
 {
-    std::vector<const Entry *> newer;
-    for (const auto &[name, entry] : m_entries) {
-        if (entry.object.revision > revision)
-            newer.push_back(&entry);
+    std::vector<const StoredObject *> newer;
+    for (const auto &[name, object] : m_entries) {
+        if (object.revision > revision)
+            newer.push_back(&object);
     }
-    std::ranges::sort(newer, {}, [](const Entry *entry) { return entry->object.revision; });
+    std::ranges::sort(newer, {}, [](const StoredObject *object) { return object->revision; });
     StoredObjects changes;
     changes.revision = std::max(m_newest, revision);
     changes.knownAt = m_asOf;
-    for (const Entry *entry : newer) {
-        const StoredObject &object = entry->object;
-        if (changes.objects.size() >= most && object.revision != changes.objects.back().revision) {
+    for (const StoredObject *object : newer) {
+        if (changes.objects.size() >= most && object->revision != changes.objects.back().revision) {
             changes.revision = changes.objects.back().revision;
             changes.mayHaveMore = true;
             break;
         }
-        changes.changedAfter = std::min(changes.changedAfter.value_or(entry->after), entry->after);
-        changes.objects.push_back(object);
+        changes.objects.push_back(*object);
     }
     return changes;
 }
@@ -125,13 +123,13 @@
 {
     StoredObjects list;
     list.revision = m_newest;
-    for (const auto &[name, entry] : m_entries) {
-        if (entry.object.deleted)
+    for (const auto &[name, object] : m_entries) {
+        if (object.deleted)
             continue;
         list.mayHaveMore = list.objects.size() >= most;
         if (list.mayHaveMore)
             break;
-        list.objects.push_back(entry.object);
+        list.objects.push_back(object);
     }
     return list;
 }
--- a/src/gateway/news/news_log.hpp
+++ b/src/gateway/news/news_log.hpp
@@ -53,16 +53,10 @@
     [[nodiscard]] StoredObjects all(std::size_t most) const;
 
 private:
-    struct Entry
-    {
-        StoredObject object;
-        TimePoint after; ///< The change happened after this time.
-    };
-
     void put(StoredObject object);
     void limitDeletions();
 
-    std::map<std::string, Entry, std::less<>> m_entries;
+    std::map<std::string, StoredObject, std::less<>> m_entries;
     std::size_t m_deletions = 0;
     StoreRevision m_base; ///< Changes up to this one may be missing.
     StoreRevision m_newest;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -23,6 +23,10 @@
 constexpr Duration queryTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerIdleTimeout = std::chrono::seconds(3);
 constexpr std::size_t maxDatagram = 60000;
+/// Interval of questions to the placer about what it can prove of the store.
+constexpr Duration markInterval = std::chrono::milliseconds(500);
+/// Age of a question after which its answer is dropped.
+constexpr Duration maxMarkDelay = std::chrono::seconds(2);
 /// Interval of looking for parts of allowances that are lacking.
 constexpr Duration allowanceInterval = std::chrono::milliseconds(50);
 /// Interval of log lines about them.
@@ -54,6 +58,7 @@
     asio::co_spawn(m_gateway.loop, receiveMessages(), asio::detached);
     asio::co_spawn(m_gateway.loop, queryPeers(), asio::detached);
     asio::co_spawn(m_gateway.loop, lendAllowances(), asio::detached);
+    asio::co_spawn(m_gateway.loop, askForMarks(), asio::detached);
     return ok();
 }
 
@@ -134,6 +139,19 @@
         if (failure)
             continue;
         bytes.resize(count);
+        if (const auto askedAt = decodeMarkQuestion(bytes)) {
+            // The placer's own writes prove most.
+            if (m_hooks.isPlacer()) {
+                beast::error_code ignored;
+                m_socket.send_to(asio::buffer(encodeMarkAnswer({*askedAt, m_hooks.mark()})), from,
+                                 0, ignored);
+            }
+            continue;
+        }
+        if (isMarkAnswer(bytes)) {
+            takeMark(bytes);
+            continue;
+        }
         if (isAllowanceMessage(bytes)) {
             receiveAllowances(bytes);
             continue;
@@ -149,6 +167,30 @@
     }
 }
 
+asio::awaitable<void> PeerLink::askForMarks()
+{
+    asio::steady_timer timer(m_gateway.loop);
+    while (true) {
+        timer.expires_after(markInterval);
+        co_await timer.async_wait(asTuple);
+        const std::string placer = m_hooks.placer();
+        if (m_hooks.isPlacer() || placer.empty() || placer == m_gateway.options.name)
+            continue;
+        const bool sent = sendTo(placer, encodeMarkQuestion(m_gateway.now()));
+        m_gateway.metrics.count("store-mark", sent ? "asked" : "dropped");
+    }
+}
+
+void PeerLink::takeMark(const std::vector<std::uint8_t> &bytes)
+{
+    const Result<MarkAnswer> answer = decodeMarkAnswer(bytes);
+    const TimePoint now = m_gateway.now();
+    const bool usable = answer && answer->askedAt <= now && now - answer->askedAt <= maxMarkDelay;
+    m_gateway.metrics.count("store-mark", usable ? "taken" : "damaged");
+    if (usable)
+        m_hooks.takeMark(answer->mark, answer->askedAt);
+}
+
 asio::awaitable<void> PeerLink::lendAllowances()
 {
     asio::steady_timer timer(m_gateway.loop);
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -3,6 +3,7 @@
 /// state for instances that can't reach the store.
 #pragma once
 
+#include "gateway/evidence/store_mark.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/shard_delta.hpp"
 
@@ -42,6 +43,8 @@
         std::function<void(const StoredObject &)> settings;
         std::function<void(const std::vector<TargetEntry> &, StoreRevision)> targets;
         std::function<void(const std::vector<std::string> &, StoreRevision)> evacuated;
+        std::function<StoreMark()> mark; ///< What this instance can prove of the store.
+        std::function<void(const StoreMark &, TimePoint askedAt)> takeMark;
     };
 
     PeerLink(Gateway &gateway, Hooks hooks);
@@ -63,6 +66,8 @@
     void applyAnswer(const std::string &answer, TimePoint askedAt);
     void addLoad(const LoadMessage &message);
     void receiveDelta(const ShardDelta &delta);
+    asio::awaitable<void> askForMarks();
+    void takeMark(const std::vector<std::uint8_t> &bytes);
     asio::awaitable<void> lendAllowances();
     void receiveAllowances(const std::vector<std::uint8_t> &bytes);
     void send(const AllowanceExchange::Outgoing &messages);
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -53,8 +53,6 @@
     bool mayHaveMore = false; ///< Changes only: the store may have cut the answer short.
     /// When the store was known to have nothing newer; nothing if this is its own answer.
     std::optional<TimePoint> knownAt;
-    /// Changes only: all happened after this time; nothing if this is the store's own answer.
-    std::optional<TimePoint> changedAfter;
 };
 
 /// \brief Receives a function that cancels a wait, and an empty one when the wait is over.
--- a/src/gateway/workspaces/allowance_message.cpp
+++ b/src/gateway/workspaces/allowance_message.cpp
@@ -1,5 +1,7 @@
 #include "gateway/workspaces/allowance_message.hpp"
 
+#include "gateway/datagram_key.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace yuccaspan::gateway {
@@ -8,11 +10,6 @@
 
 using nlohmann::json;
 
-/// Start of a CBOR map whose first key is "a"; keys are in order, so "a" comes first.
-constexpr std::uint8_t typeMask = 0xE0;
-constexpr std::uint8_t mapType = 0xA0;
-constexpr std::uint8_t oneCharacterText = 0x61;
-
 /// Also false for what is not a number.
 bool allParts(const AllowanceMessage::Parts &parts, double most) noexcept
 {
@@ -27,8 +24,7 @@
 
 bool isAllowanceMessage(const std::vector<std::uint8_t> &bytes) noexcept
 {
-    return bytes.size() > 2 && (bytes[0] & typeMask) == mapType && bytes[1] == oneCharacterText
-        && bytes[2] == 'a';
+    return startsWithKey(bytes, 'a');
 }
 
 std::vector<std::uint8_t> encodeAllowanceMessage(const AllowanceMessage &message)
--- /dev/null
+++ b/tests/gateway/test_store_evidence.cpp
@@ -0,0 +1,154 @@
+#include "gateway/evidence/store_evidence.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint start{seconds(1000)};
+constexpr ObjectKind kind = ObjectKind::Targets;
+
+constexpr StoreRevision revision(std::uint64_t number, std::uint64_t era = 1)
+{
+    return {era, number};
+}
+
+/// On a saturated link, an answer that took longer than 150 ms was mistaken for one of a watch that
+/// had waited (DRAIN on hunt day trouble-1 595785362495 of the grown deployment).
+TEST(StoreEvidence, delayedAnswerMayHoldChangesSinceThePreviousOne)
+{
+    StoreEvidence evidence;
+    const TimePoint previousAnswer = start - milliseconds(1330);
+    evidence.applied(kind, revision(10), revision(9));
+    evidence.proven(kind, previousAnswer);
+    EXPECT_LE(evidence.changedSince(kind, revision(11)), previousAnswer);
+}
+
+TEST(StoreEvidence, nothingIsProvenBeforeTheFirstAnswer)
+{
+    const StoreEvidence evidence;
+    EXPECT_EQ(evidence.changedSince(kind, revision(11)), TimePoint{});
+    EXPECT_EQ(evidence.provenAt(kind), TimePoint{});
+}
+
+TEST(StoreEvidence, aChangeIsDatedFromTheLastEarlierRevision)
+{
+    StoreEvidence evidence;
+    evidence.applied(kind, revision(10), revision(9));
+    evidence.proven(kind, start);
+    evidence.observed(revision(20), start + seconds(1));
+    evidence.observed(revision(30), start + seconds(2));
+    evidence.observed(revision(40), start + seconds(3));
+    EXPECT_EQ(evidence.changedSince(kind, revision(15)), start);
+    EXPECT_EQ(evidence.changedSince(kind, revision(20)), start);
+    EXPECT_EQ(evidence.changedSince(kind, revision(31)), start + seconds(2));
+    EXPECT_EQ(evidence.changedSince(kind, revision(50)), start + seconds(3));
+    // A deletion may carry the last revision of the deleted object.
+    EXPECT_EQ(evidence.changedSince(kind, revision(9)), start);
+    // Numbers of another era prove nothing.
+    EXPECT_EQ(evidence.changedSince(kind, revision(31, 2)), start);
+}
+
+TEST(StoreEvidence, aMarkProvesOnlyWhatIsInForceHere)
+{
+    StoreEvidence placer;
+    placer.applied(kind, revision(30), revision(25));
+    placer.proven(kind, start);
+    placer.observed(revision(28), start - milliseconds(400));
+    const StoreMark mark = placer.mark(start + milliseconds(100));
+
+    StoreEvidence behind;
+    behind.applied(kind, revision(24), revision(24));
+    behind.take(mark, start + seconds(5));
+    EXPECT_EQ(behind.provenAt(kind), TimePoint{});
+    EXPECT_EQ(behind.changedSince(kind, revision(29)), start + seconds(5) - milliseconds(500));
+
+    StoreEvidence current;
+    current.applied(kind, revision(25), revision(25));
+    current.take(mark, start + seconds(5));
+    EXPECT_EQ(current.provenAt(kind), start + seconds(5) - milliseconds(100));
+}
+
+/// No change is dated after it happened, whatever is lost, late or asked when.
+RC_GTEST_PROP(StoreEvidence, neverDatesAChangeTooLate, ())
+{
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(1, 400)));
+    StoreEvidence placer;
+    StoreEvidence self;
+    TimePoint now = start;
+    std::uint64_t number = 1;
+    std::vector<std::pair<StoreRevision, TimePoint>> changes; ///< Of the kind; unknown to self.
+    std::optional<std::pair<StoreMark, TimePoint>> underWay;
+    for (const auto &[step, ms] : steps) {
+        now += milliseconds(ms);
+        switch (step) {
+        case 0: // A change of the kind.
+            changes.emplace_back(revision(++number), now);
+            break;
+        case 1: // A write of the placer.
+            placer.observed(revision(++number), now);
+            break;
+        case 2: // The placer lists.
+            placer.applied(kind, revision(number), revision(number));
+            placer.proven(kind, now);
+            placer.observed(revision(number), now);
+            break;
+        case 3: // A question to the placer, or the answer to the last one.
+            if (underWay)
+                self.take(underWay->first, underWay->second);
+            underWay = std::pair(placer.mark(now), now);
+            break;
+        default: // This instance reads the store.
+            for (const auto &[change, at] : changes)
+                RC_ASSERT(self.changedSince(kind, change) <= at);
+            changes.clear();
+            self.applied(kind, revision(number), revision(number));
+            self.proven(kind, now);
+        }
+    }
+    for (const auto &[change, at] : changes)
+        RC_ASSERT(self.changedSince(kind, change) <= at);
+}
+
+TEST(StoreMark, isReadAsItWasWritten)
+{
+    MarkAnswer answer;
+    answer.askedAt = start;
+    answer.mark.kinds[kind] = {revision(7, 3), milliseconds(40)};
+    answer.mark.revisions.emplace_back(revision(9, 3), milliseconds(120));
+    const auto bytes = encodeMarkAnswer(answer);
+    ASSERT_TRUE(isMarkAnswer(bytes));
+    EXPECT_FALSE(decodeMarkQuestion(bytes));
+    const Result<MarkAnswer> read = decodeMarkAnswer(bytes);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->askedAt, start);
+    ASSERT_TRUE(read->mark.kinds.contains(kind));
+    EXPECT_EQ(read->mark.kinds.at(kind).lastChange, revision(7, 3));
+    EXPECT_EQ(read->mark.kinds.at(kind).age, milliseconds(40));
+    ASSERT_EQ(read->mark.revisions.size(), 1U);
+    EXPECT_EQ(read->mark.revisions.front().first, revision(9, 3));
+    EXPECT_EQ(decodeMarkQuestion(encodeMarkQuestion(start)), start);
+}
+
+TEST(StoreMark, damagedOnesAreRefused)
+{
+    MarkAnswer answer;
+    answer.mark.kinds[kind] = {revision(7), milliseconds(40)};
+    std::vector<std::uint8_t> bytes = encodeMarkAnswer(answer);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        EXPECT_FALSE(decodeMarkAnswer({bytes.begin(), bytes.begin() + std::ptrdiff_t(size)}));
+    EXPECT_FALSE(decodeMarkQuestion({0xA1, 0x61, '?', 0x61}));
+    EXPECT_FALSE(decodeMarkQuestion({}));
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
