A change that the placer knows is listed where it doesn't arrive (CONFIG)

Cause: nothing told a watch that hears nothing from one without changes. The cheap read of the lease that was to show it (watch-lost-in-a-short-outage) is answered by a store whose watches are silent, and the age of news that is passed on counts from that read. An instance that hears from a peer while a watch of its own from before still waits, up to 17 s, doesn't apply what it heard.

Change: knowledge is checked end to end. The placer proves to itself, for settings, targets and evacuations in turn, that nothing newer exists: every 0.33 s a call for changes that has to be answered at once. If it isn't in 0.4 s, the placer lists the kinds, which needs no watch. What it knows goes into the answers that all instances get from it each 0.5 s; an instance that lacks a change 0.4 s later lists that kind at the store, whatever its own source says. Without a placer for 4 s, an instance that follows the store checks for itself.

The store in memory answers without an era, as the users' does, so that an instance takes the lease at once.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -68,7 +68,8 @@
     };
     hooks.mark = [this] { return m_evidence.mark(m_gateway.now()); };
     hooks.takeMark = [this](const StoreMark &mark, TimePoint askedAt) {
-        m_evidence.take(mark, askedAt);
+        m_markTakenAt = m_gateway.now();
+        m_evidence.take(mark, askedAt, m_markTakenAt);
     };
     return hooks;
 }
@@ -123,6 +124,7 @@
     asio::co_spawn(m_gateway.loop, registerInstance(), asio::detached);
     asio::co_spawn(m_gateway.loop, keepLease(), asio::detached);
     asio::co_spawn(m_gateway.loop, tickLoop(), asio::detached);
+    asio::co_spawn(m_gateway.loop, checkKinds(), asio::detached);
     return m_peers.start();
 }
 
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -78,6 +78,10 @@
     void logUnreadable(ObjectKind kind, std::size_t count);
     void logChange(std::string_view part, std::string_view event, nlohmann::json fields);
     void dateChanges(TimePoint since);
+    asio::awaitable<void> checkKinds();
+    [[nodiscard]] bool checksKinds() const;
+    asio::awaitable<bool> checkKind(ObjectKind kind);
+    void catchUp();
     void recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf);
     asio::awaitable<void> batchChanges(const Follower &follower);
     asio::awaitable<bool> batchMapChanges(std::size_t changes);
@@ -85,6 +89,7 @@
     [[nodiscard]] Duration batchDelayFor(const Follower &follower) const noexcept;
     [[nodiscard]] bool takeEra(std::uint64_t era);
     void enterEra(std::uint64_t era);
+    [[nodiscard]] Duration delayOfInstance(Duration most) const;
     asio::awaitable<void> endEraGrace(std::uint64_t era);
     [[nodiscard]] bool inEraGrace() const noexcept { return m_gateway.now() < m_eraGraceUntil; }
     [[nodiscard]] bool storedInEra(const WriteResult &written, std::uint64_t sentEra);
@@ -159,6 +164,7 @@
     std::map<std::string, std::string> m_instances; ///< Peer address by name.
     std::map<ObjectKind, StoreRevision> m_revisions; ///< Store revision last read, by kind.
     StoreEvidence m_evidence;
+    TimePoint m_markTakenAt{}; ///< When the placer last proved something.
     TimePoint m_changedSince{}; ///< Earliest time of the changes being applied.
     ChangeOrigin m_changeOrigin = ChangeOrigin::StoreList; ///< Of the changes being applied.
     StoredObject m_settings; ///< The desired state in force, as stored.
--- a/src/gateway/control_era.cpp
+++ b/src/gateway/control_era.cpp
@@ -22,16 +22,16 @@
                                    ObjectKind::Evacuations, ObjectKind::ShardMaps,
                                    ObjectKind::Instances};
 
-/// Part of the maximum delay that falls to an instance.
-Duration listDelayOf(const std::string &name)
+} // namespace
+
+/// Part of a maximum delay that falls to this instance.
+Duration Control::delayOfInstance(Duration most) const
 {
     constexpr std::size_t steps = 64;
-    const auto step = static_cast<Duration::rep>(std::hash<std::string>{}(name) % steps);
-    return maxListDelay * step / static_cast<Duration::rep>(steps);
+    const std::size_t hash = std::hash<std::string>{}(m_gateway.options.name);
+    return most * static_cast<Duration::rep>(hash % steps) / static_cast<Duration::rep>(steps);
 }
 
-} // namespace
-
 /// Compares the era of an answer with the known one, and reacts to a higher one.
 /// \returns Whether the answer may be used; one of an earlier era may not.
 bool Control::takeEra(std::uint64_t era)
@@ -63,7 +63,7 @@
     if (m_wasPlacing)
         stepDown("the store came back from a copy");
     m_eraGraceUntil = now + eraGrace;
-    m_eraListsFrom = now + listDelayOf(m_gateway.options.name);
+    m_eraListsFrom = now + delayOfInstance(maxListDelay);
     m_gateway.directory.enterEra(now);
     m_relist.insert(followedKinds.begin(), followedKinds.end());
     restartWatches();
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -188,6 +188,7 @@
         if (m_gateway.directory.tick(now))
             m_gateway.wakeAll();
         m_gateway.forgetTargets();
+        catchUp();
         if (placing() && m_gateway.desired) {
             for (const auto &[name, service] : m_gateway.desired->services) {
                 if (!service.keyed)
--- a/src/gateway/evidence/store_evidence.cpp
+++ b/src/gateway/evidence/store_evidence.cpp
@@ -57,6 +57,27 @@
     return since;
 }
 
+void StoreEvidence::told(ObjectKind kind, StoreRevision change, TimePoint now)
+{
+    Kind &known = m_kinds[kind];
+    if (change <= known.upTo || known.told > known.upTo)
+        return;
+    known.told = change;
+    known.overdueFrom = now + arrivalTime;
+}
+
+std::vector<ObjectKind> StoreEvidence::overdue(TimePoint now)
+{
+    std::vector<ObjectKind> kinds;
+    for (auto &[kind, known] : m_kinds) {
+        if (known.told <= known.upTo || now < known.overdueFrom)
+            continue;
+        known.overdueFrom = now + overdueInterval;
+        kinds.push_back(kind);
+    }
+    return kinds;
+}
+
 StoreMark StoreEvidence::mark(TimePoint now) const
 {
     StoreMark mark;
@@ -67,16 +88,18 @@
     return mark;
 }
 
-void StoreEvidence::take(const StoreMark &mark, TimePoint askedAt)
+void StoreEvidence::take(const StoreMark &mark, TimePoint askedAt, TimePoint now)
 {
     for (const auto &[revision, age] : mark.revisions)
         observed(revision, askedAt - age);
     for (const auto &[kind, marked] : mark.kinds) {
-        const auto known = m_kinds.find(kind);
-        const bool hasAll = known != m_kinds.end() && marked.lastChange.known()
-            && marked.lastChange <= known->second.upTo;
-        if (hasAll)
+        const Kind &known = m_kinds[kind];
+        if (!marked.lastChange.known())
+            continue;
+        if (marked.lastChange <= known.upTo)
             proven(kind, askedAt - marked.age);
+        else
+            told(kind, marked.lastChange, now);
     }
 }
 
--- a/src/gateway/evidence/store_evidence.hpp
+++ b/src/gateway/evidence/store_evidence.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <vector>
 
 namespace yuccaspan::gateway {
 
@@ -16,6 +17,9 @@
 /// may have been silent, an answer delayed, an instance frozen. A change is therefore dated from
 /// the latest time at which the store is known not to have had it, and an instance without proofs
 /// dates its changes early.
+///
+/// Also notices that a change which another instance knows does not arrive, however fresh the
+/// instance's own sources seem.
 class StoreEvidence
 {
 public:
@@ -23,6 +27,10 @@
     static constexpr Duration revisionInterval = std::chrono::milliseconds(100);
     /// \brief Number of recorded revisions.
     static constexpr std::size_t maxRevisions = 32;
+    /// \brief Time for a change that another instance knows to arrive here as usual.
+    static constexpr Duration arrivalTime = std::chrono::milliseconds(400);
+    /// \brief Least time between two reports that the same kind is overdue.
+    static constexpr Duration overdueInterval = std::chrono::milliseconds(1000);
 
     /// \brief The store had no later revision at a time: changes with later ones came after it.
     /// \param asOf When the call was sent that was answered with the revision, or later.
@@ -39,11 +47,16 @@
     /// \param change Revision of the change; one that isn't newer than what is in force is ignored.
     [[nodiscard]] TimePoint changedSince(ObjectKind kind, StoreRevision change) const;
 
+    /// \brief A change exists, in force here or not.
+    void told(ObjectKind kind, StoreRevision change, TimePoint now);
+    /// \brief Kinds of which a change that was told has not come into force in its time.
+    [[nodiscard]] std::vector<ObjectKind> overdue(TimePoint now);
+
     /// \brief What this instance can prove to others.
     [[nodiscard]] StoreMark mark(TimePoint now) const;
     /// \brief Takes in the proofs of another instance.
     /// \param askedAt When it was asked; its ages count from there at the latest.
-    void take(const StoreMark &mark, TimePoint askedAt);
+    void take(const StoreMark &mark, TimePoint askedAt, TimePoint now);
 
 private:
     struct Kind
@@ -51,6 +64,8 @@
         StoreRevision upTo; ///< Everything up to this revision of the store is in force.
         StoreRevision lastChange;
         TimePoint provenAt{};
+        StoreRevision told; ///< First change that was told and may not be in force.
+        TimePoint overdueFrom{};
     };
     struct Revision
     {
--- a/src/gateway/news/news_store.hpp
+++ b/src/gateway/news/news_store.hpp
@@ -44,6 +44,11 @@
     asio::awaitable<Result<StoredObjects>> list(ObjectKind kind) override;
     asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, StoreRevision revision,
                                                  Duration wait, CancelSink onCancel) override;
+    asio::awaitable<Result<StoredObjects>> changes(ObjectKind kind, StoreRevision revision,
+                                                   Duration within) override
+    {
+        return m_store.changes(kind, revision, within);
+    }
     asio::awaitable<Result<StoredObject>> get(ObjectKind kind, const std::string &name,
                                               bool maybeOld) override;
     asio::awaitable<WriteResult> put(ObjectKind kind, const std::string &name,
--- a/src/gateway/platform.hpp
+++ b/src/gateway/platform.hpp
@@ -89,6 +89,11 @@
     /// \param onCancel Receives a function that cancels the wait.
     virtual asio::awaitable<Result<StoredObjects>> watch(ObjectKind kind, StoreRevision revision,
                                                          Duration wait, CancelSink onCancel) = 0;
+    /// \brief Changes of a kind after a revision, without waiting for one.
+    /// \param within Time after which the call is given up; the error is then not NotFound,
+    /// LimitExceeded or Unavailable.
+    virtual asio::awaitable<Result<StoredObjects>> changes(ObjectKind kind, StoreRevision revision,
+                                                           Duration within);
     /// \brief One object.
     /// \param maybeOld Whether a result that is seconds old is acceptable; it costs less.
     virtual asio::awaitable<Result<StoredObject>> get(ObjectKind kind, const std::string &name,
--- a/tests/gateway/shared_store.cpp
+++ b/tests/gateway/shared_store.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Duration pollInterval = std::chrono::milliseconds(5);
-constexpr std::uint64_t era = 1;
+constexpr std::uint64_t era = 0;
 
 } // namespace
 
@@ -54,7 +54,9 @@
     }
     if (onCancel)
         onCancel({});
-    if (cancelled || cuts != m_shared.cuts)
+    if (cancelled)
+        co_return Error{ErrorCode::Timeout, "cancelled", {}};
+    if (cuts != m_shared.cuts)
         co_return Error{ErrorCode::Unavailable, "watch was cut", {}};
     if (revision.number < m_shared.forgotten)
         co_return Error{ErrorCode::LimitExceeded, "history is gone", {}};
--- a/tests/gateway/test_silent_watches.cpp
+++ b/tests/gateway/test_silent_watches.cpp
@@ -207,7 +207,7 @@
         child->store.watchesSilent = true;
     fleet.start();
     fleet.shared.set(ObjectKind::Settings, "main", "2");
-    fleet.loop.run_for(milliseconds(800));
+    fleet.loop.run_for(applyWithin);
     for (const auto &instance : fleet.all)
         EXPECT_EQ(instance->version(), 2U) << instance->gateway.options.name;
 }
--- a/tests/gateway/test_store_evidence.cpp
+++ b/tests/gateway/test_store_evidence.cpp
@@ -66,13 +66,19 @@
 
     StoreEvidence behind;
     behind.applied(kind, revision(24), revision(24));
-    behind.take(mark, start + seconds(5));
+    behind.take(mark, start + seconds(5), start + seconds(6));
     EXPECT_EQ(behind.provenAt(kind), TimePoint{});
+    EXPECT_TRUE(behind.overdue(start + milliseconds(6399)).empty());
+    EXPECT_EQ(behind.overdue(start + milliseconds(6400)), std::vector{kind});
+    EXPECT_TRUE(behind.overdue(start + milliseconds(6500)).empty());
+    EXPECT_EQ(behind.overdue(start + milliseconds(7400)), std::vector{kind});
+    behind.applied(kind, revision(26), revision(25));
+    EXPECT_TRUE(behind.overdue(start + seconds(9)).empty());
     EXPECT_EQ(behind.changedSince(kind, revision(29)), start + seconds(5) - milliseconds(500));
 
     StoreEvidence current;
     current.applied(kind, revision(25), revision(25));
-    current.take(mark, start + seconds(5));
+    current.take(mark, start + seconds(5), start + seconds(6));
     EXPECT_EQ(current.provenAt(kind), start + seconds(5) - milliseconds(100));
 }
 
@@ -103,7 +109,7 @@
             break;
         case 3: // A question to the placer, or the answer to the last one.
             if (underWay)
-                self.take(underWay->first, underWay->second);
+                self.take(underWay->first, underWay->second, now);
             underWay = std::pair(placer.mark(now), now);
             break;
         default: // This instance reads the store.
