Only settings, targets and evacuations are checked end to end

Change: StoreEvidence gets the three kinds that callers depend on within seconds. The shard maps have checks of their own: a map that lags is noticed by the next change that doesn't fit, and by a target that doesn't hold the key.

Test: SilentWatches.changesThatMayTakeLongerArentListedAgain fails without the change.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -220,20 +220,6 @@
     m_changedSince = std::clamp(since, now - maxChangeAge, now);
 }
 
-/// Records what an answer proves, once its changes are in force.
-/// \param asOf Time up to which the store's answer holds all changes.
-void Control::recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf)
-{
-    StoreRevision lastChange;
-    for (const StoredObject &object : answer.objects)
-        lastChange = std::max(lastChange, object.revision);
-    m_evidence.applied(kind, answer.revision, lastChange);
-    // A store from a copy may lack changes until they have been written again.
-    const bool fromStore = !answer.knownAt && !answer.mayHaveMore && !inEraGrace();
-    if (fromStore)
-        m_evidence.proven(kind, asOf);
-}
-
 asio::awaitable<bool> Control::listAll(const Follower &follower, StoreRevision &revision)
 {
     const TimePoint askedAt = m_gateway.now();
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -27,6 +27,22 @@
 
 } // namespace
 
+/// Records what an answer proves, once its changes are in force. Changes of the other kinds may
+/// take longer to arrive. \param asOf Time up to which the store's answer holds all changes.
+void Control::recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf)
+{
+    if (std::ranges::find(checkedKinds, kind) == checkedKinds.end())
+        return;
+    StoreRevision lastChange;
+    for (const StoredObject &object : answer.objects)
+        lastChange = std::max(lastChange, object.revision);
+    m_evidence.applied(kind, answer.revision, lastChange);
+    // A store from a copy may lack changes until they have been written again.
+    const bool fromStore = !answer.knownAt && !answer.mayHaveMore && !inEraGrace();
+    if (fromStore)
+        m_evidence.proven(kind, asOf);
+}
+
 /// Whether this instance proves to itself that it misses nothing. The placer proves it for all.
 bool Control::checksKinds() const
 {
--- a/tests/gateway/shared_store.cpp
+++ b/tests/gateway/shared_store.cpp
@@ -24,6 +24,7 @@
 
 asio::awaitable<Result<StoredObjects>> StoreConnection::list(ObjectKind kind)
 {
+    ++lists[kind];
     StoredObjects out;
     out.revision = {era, m_shared.revision};
     for (const auto &[name, object] : m_shared.objects[kind])
--- a/tests/gateway/shared_store.hpp
+++ b/tests/gateway/shared_store.hpp
@@ -41,6 +41,7 @@
                                      const std::string &text, StoreRevision revision) override;
 
     bool watchesSilent = false; ///< Watches aren't answered; all other calls are.
+    std::map<ObjectKind, int> lists; ///< Calls by kind.
     Duration longestWait = std::chrono::milliseconds(500); ///< After which a watch is answered.
 
 private:
--- a/tests/gateway/test_silent_watches.cpp
+++ b/tests/gateway/test_silent_watches.cpp
@@ -119,10 +119,14 @@
         const tcp::acceptor free(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
         return "127.0.0.1:" + std::to_string(free.local_endpoint().port());
     }
+    /// A reader takes the placer lease.
     void start()
     {
-        for (const auto &instance : all)
-            EXPECT_TRUE(instance->control.start());
+        for (Instance *reader : readers)
+            EXPECT_TRUE(reader->control.start());
+        loop.run_for(milliseconds(500));
+        for (Instance *child : children)
+            EXPECT_TRUE(child->control.start());
         loop.run_for(seconds(2));
     }
     void setSilent(bool silent)
@@ -212,6 +216,27 @@
         EXPECT_EQ(instance->version(), 2U) << instance->gateway.options.name;
 }
 
+/// Instances and shard maps are read at longer intervals.
+TEST(SilentWatches, changesThatMayTakeLongerArentListedAgain)
+{
+    for (const std::uint32_t newsFrom : {withoutNews, withNews}) {
+        Fleet3 fleet(newsFrom);
+        fleet.start();
+        std::vector<int> before;
+        for (const auto &instance : fleet.all)
+            before.push_back(instance->store.lists[ObjectKind::ShardMaps]);
+        for (int index = 0; index < 8; ++index) {
+            fleet.shared.set(ObjectKind::ShardMaps, "s", "unreadable");
+            fleet.loop.run_for(milliseconds(300));
+        }
+        for (std::size_t index = 0; index < fleet.all.size(); ++index) {
+            Instance &instance = *fleet.all[index];
+            EXPECT_EQ(instance.store.lists[ObjectKind::ShardMaps], before[index]);
+            EXPECT_EQ(instance.store.lists[ObjectKind::Settings], 1);
+        }
+    }
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
