A leaving target that another instance names isn't dated from its arrival

Nothing says since when; it counts as left long ago now, and its keys are awaited elsewhere.

Test: TargetDirectory.leavingThatAnotherInstanceTellsIsntDatedTooLate, fails without the change.

--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-/// Records what an answer proves, once its changes are in force. Changes of the other kinds may
-/// take longer to arrive. \param asOf Time up to which the store's answer holds all changes.
+/// Records what an answer proves, once its changes are in force: all changes up to `asOf`, if it
+/// comes from the store. Changes of the other kinds may take longer to arrive.
 void Control::recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf)
 {
     if (std::ranges::find(checkedKinds, kind) == checkedKinds.end())
--- a/src/gateway/target_directory.cpp
+++ b/src/gateway/target_directory.cpp
@@ -10,6 +10,8 @@
 /// Entries that expired while the store was unavailable return within about 2 s of its recovery
 /// (store protocol); the rest is the time for the watch to deliver them.
 constexpr Duration relistGrace = std::chrono::milliseconds(2300);
+/// Assumed time since a change of which nothing is known; exceeds every bound for sending.
+constexpr Duration unknownSince = std::chrono::seconds(30);
 /// How long a target that left is kept; exceeds the longest grant and its late delivery.
 constexpr Duration retentionTime = std::chrono::seconds(60);
 
@@ -64,7 +66,7 @@
 {
     const Target *known = find(entry.id);
     if (known == nullptr || known->entry.incarnation < entry.incarnation)
-        put(entry, now, now);
+        put(entry, now, now - unknownSince);
 }
 
 bool TargetDirectory::saidLeaving(std::string_view id, std::int64_t incarnation, TimePoint now)
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -53,6 +53,20 @@
     EXPECT_EQ(directory.unwantedSince(*directory.find("u")), start + seconds(7));
 }
 
+/// The instance that named it doesn't say since when it leaves.
+TEST(TargetDirectory, leavingThatAnotherInstanceTellsIsntDatedTooLate)
+{
+    constexpr Duration longestBound = seconds(5);
+    TargetDirectory directory;
+    TargetEntry leaving = entry("t", 5);
+    leaving.draining = true;
+    directory.putIfNew(leaving, start);
+    EXPECT_LE(directory.unwantedSince(*directory.find("t")), start - longestBound);
+    // Kept, so that its keys can be released.
+    directory.tick(start);
+    EXPECT_NE(directory.find("t"), nullptr);
+}
+
 TEST(TargetDirectory, ignoresAnEntryOfAnEarlierIncarnation)
 {
     TargetDirectory directory;
