The placer checks its watches each 0.33 s, whatever came last (CONFIG)

A kind that had been proven in the last 0.6 s wasn't checked. Where watches fall silent just after a change, the placer would notice it up to 1.3 s later instead of 0.73 s, and with the 0.9 s in which the others follow a bound of 2 s was passed. Found by adding up the times, not seen.

Tests: SilentWatches.* pass as before.

--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -14,8 +14,6 @@
                                   ObjectKind::Evacuations};
 /// Pause between two checks; each kind is checked in turn, and each check counts as a paid call.
 constexpr Duration checkInterval = std::chrono::milliseconds(333);
-/// Age of the last proof from which a kind is checked.
-constexpr Duration checkFrom = std::chrono::milliseconds(600);
 /// A slow store answers in 0.3 s.
 constexpr Duration checkTimeout = std::chrono::milliseconds(400);
 /// Time without a proof from the placer after which an instance that follows the store checks for
@@ -62,8 +60,8 @@
         co_await pause(checkInterval);
         const ObjectKind kind = checkedKinds.at(turn++ % checkedKinds.size());
         const Duration age = m_gateway.now() - m_evidence.provenAt(kind);
-        const Duration checkedFrom = placing() ? checkFrom : ownCheckFrom;
-        if (!checksKinds() || age < checkedFrom || m_relist.contains(kind))
+        const bool due = placing() || age >= ownCheckFrom;
+        if (!checksKinds() || !due || m_relist.contains(kind))
             continue;
         if (co_await checkKind(kind))
             continue;
