A list proves nothing of deletions that it doesn't show (DRAIN)

An instance that lacked a deletion then took all changes for known up to the placer's list, and dated the deletion too late by up to the age of that list. Targets that leave without draining are deletions; while the store compacts, the placer lists first.

Change: a mark holds the revision of the placer's last list. It proves a kind only where everything up to that is in force; a list that isn't the placer's first counts as a change, so that the others list too.

Tests: StoreEvidence.aListMayHoldDeletionsThatItDoesntShow, and the property with deletions and lists; both fail with the comparison of before.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -86,7 +86,7 @@
     dateChanges(m_evidence.provenAt(kind));
     m_changeOrigin = ChangeOrigin::PeerState;
     m_revisions[kind] = revision;
-    m_evidence.applied(kind, revision, {});
+    m_evidence.listed(kind, revision, {});
     m_relist.insert(kind);
     return true;
 }
@@ -238,7 +238,7 @@
     revision = listed->revision;
     m_revisions[follower.kind] = revision;
     (this->*follower.onListed)(listed->objects);
-    recordAnswer(follower.kind, *listed, askedAt);
+    recordAnswer(follower.kind, AnswerForm::List, *listed, askedAt);
     m_evidence.observed(listed->revision, askedAt);
     // A store from a copy may lack the newest settings until the operator has written them again.
     if (follower.kind == ObjectKind::Settings && !inEraGrace())
@@ -305,7 +305,7 @@
             const bool complete = !changes->mayHaveMore && !inEraGrace();
             if (follower.kind == ObjectKind::Settings && complete)
                 m_gateway.keyFreshness.currentAsOf(asOf);
-            recordAnswer(follower.kind, *changes, asOf);
+            recordAnswer(follower.kind, AnswerForm::Changes, *changes, asOf);
             // With changes, the revision may be that of the last one.
             if (!changes->knownAt && changes->objects.empty())
                 m_evidence.observed(changes->revision, asOf);
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -82,7 +82,9 @@
     [[nodiscard]] bool checksKinds() const;
     asio::awaitable<bool> checkKind(ObjectKind kind);
     void catchUp();
-    void recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf);
+    enum class AnswerForm { List, Changes };
+    void recordAnswer(ObjectKind kind, AnswerForm form, const StoredObjects &answer,
+                      TimePoint asOf);
     asio::awaitable<void> batchChanges(const Follower &follower);
     asio::awaitable<bool> batchMapChanges(std::size_t changes);
     [[nodiscard]] StoreRevision newestMap() const noexcept;
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -27,14 +27,18 @@
 
 /// Records what an answer proves, once its changes are in force: all changes up to `asOf`, if it
 /// comes from the store. Changes of the other kinds may take longer to arrive.
-void Control::recordAnswer(ObjectKind kind, const StoredObjects &answer, TimePoint asOf)
+void Control::recordAnswer(ObjectKind kind, AnswerForm form, const StoredObjects &answer,
+                           TimePoint asOf)
 {
     if (std::ranges::find(checkedKinds, kind) == checkedKinds.end())
         return;
     StoreRevision lastChange;
     for (const StoredObject &object : answer.objects)
         lastChange = std::max(lastChange, object.revision);
-    m_evidence.applied(kind, answer.revision, lastChange);
+    if (form == AnswerForm::List)
+        m_evidence.listed(kind, answer.revision, lastChange);
+    else
+        m_evidence.applied(kind, answer.revision, lastChange);
     // A store from a copy may lack changes until they have been written again.
     const bool fromStore = !answer.knownAt && !answer.mayHaveMore && !inEraGrace();
     if (fromStore)
@@ -65,7 +69,7 @@
             continue;
         if (co_await checkKind(kind))
             continue;
-        // The watches of the other kinds are no better.
+        // The other watches may be silent as well.
         for (const ObjectKind unheard : checkedKinds)
             relist(unheard);
     }
--- a/src/gateway/evidence/store_evidence.cpp
+++ b/src/gateway/evidence/store_evidence.cpp
@@ -29,6 +29,15 @@
     known.lastChange = std::max(known.lastChange, lastChange);
 }
 
+void StoreEvidence::listed(ObjectKind kind, StoreRevision revision, StoreRevision lastObject)
+{
+    Kind &known = m_kinds[kind];
+    // The first list tells nobody else of a change; a later one may tell of deletions.
+    const bool first = !known.upTo.known();
+    known.lastList = std::max(known.lastList, revision);
+    applied(kind, revision, first ? lastObject : revision);
+}
+
 void StoreEvidence::proven(ObjectKind kind, TimePoint asOf)
 {
     Kind &known = m_kinds[kind];
@@ -82,7 +91,7 @@
 {
     StoreMark mark;
     for (const auto &[kind, known] : m_kinds)
-        mark.kinds[kind] = {known.lastChange, now - known.provenAt};
+        mark.kinds[kind] = {known.lastChange, known.lastList, now - known.provenAt};
     for (const Revision &revision : m_revisions)
         mark.revisions.emplace_back(revision.revision, now - revision.asOf);
     return mark;
@@ -96,10 +105,9 @@
         const Kind &known = m_kinds[kind];
         if (!marked.lastChange.known())
             continue;
-        if (marked.lastChange <= known.upTo)
+        if (std::max(marked.lastChange, marked.lastList) <= known.upTo)
             proven(kind, askedAt - marked.age);
-        else
-            told(kind, marked.lastChange, now);
+        told(kind, marked.lastChange, now);
     }
 }
 
--- a/src/gateway/evidence/store_evidence.hpp
+++ b/src/gateway/evidence/store_evidence.hpp
@@ -27,7 +27,7 @@
     static constexpr Duration revisionInterval = std::chrono::milliseconds(100);
     /// \brief Number of recorded revisions.
     static constexpr std::size_t maxRevisions = 32;
-    /// \brief Time for a change that another instance knows to arrive here as usual.
+    /// \brief Usual time until a change that another instance knows has arrived here.
     static constexpr Duration arrivalTime = std::chrono::milliseconds(400);
     /// \brief Least time between two reports that the same kind is overdue.
     static constexpr Duration overdueInterval = std::chrono::milliseconds(1000);
@@ -36,8 +36,13 @@
     /// \param asOf When the call was sent that was answered with the revision, or later.
     void observed(StoreRevision revision, TimePoint asOf);
     /// \brief All changes of a kind up to a revision of the store are in force.
-    /// \param lastChange The last of them, as far as it is known.
+    /// \param lastChange The last of them; none if there were no new ones.
     void applied(ObjectKind kind, StoreRevision upTo, StoreRevision lastChange);
+    /// \brief A list of a kind as of a revision of the store is in force.
+    ///
+    /// It doesn't show the revisions of deletions; they may be as late as the list's.
+    /// \param lastObject The last revision of an object in it.
+    void listed(ObjectKind kind, StoreRevision revision, StoreRevision lastObject);
     /// \brief All changes of a kind up to a time are in force.
     void proven(ObjectKind kind, TimePoint asOf);
 
@@ -63,6 +68,7 @@
     {
         StoreRevision upTo; ///< Everything up to this revision of the store is in force.
         StoreRevision lastChange;
+        StoreRevision lastList;
         TimePoint provenAt{};
         StoreRevision told; ///< First change that was told and may not be in force.
         TimePoint overdueFrom{};
--- a/src/gateway/evidence/store_mark.cpp
+++ b/src/gateway/evidence/store_mark.cpp
@@ -62,7 +62,8 @@
 {
     json kinds = json::object();
     for (const auto &[kind, marked] : answer.mark.kinds)
-        kinds[toString(kind)] = {revisionJson(marked.lastChange), ageJson(marked.age)};
+        kinds[toString(kind)] = {revisionJson(marked.lastChange), revisionJson(marked.lastList),
+                                 ageJson(marked.age)};
     json revisions = json::array();
     for (const auto &[revision, age] : answer.mark.revisions)
         revisions.push_back({revisionJson(revision), ageJson(age)});
@@ -86,7 +87,8 @@
             // An instance of a later version may know further kinds.
             if (const auto kind = fromString<ObjectKind>(item.key()))
                 answer.mark.kinds[*kind] = {revisionOf(item.value().at(0)),
-                                            ageOf(item.value().at(1))};
+                                            revisionOf(item.value().at(1)),
+                                            ageOf(item.value().at(2))};
         }
         for (const json &item : root.at("revisions"))
             answer.mark.revisions.emplace_back(revisionOf(item.at(0)), ageOf(item.at(1)));
--- a/src/gateway/evidence/store_mark.hpp
+++ b/src/gateway/evidence/store_mark.hpp
@@ -20,6 +20,7 @@
     struct Kind
     {
         StoreRevision lastChange; ///< Last known change of the kind.
+        StoreRevision lastList; ///< Up to which there may have been unknown deletions.
         Duration age{}; ///< Time since nothing newer existed.
     };
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -140,7 +140,7 @@
             continue;
         bytes.resize(count);
         if (const auto askedAt = decodeMarkQuestion(bytes)) {
-            // The placer's own writes prove most.
+            // Only the placer checks what it knows.
             if (m_hooks.isPlacer()) {
                 beast::error_code ignored;
                 m_socket.send_to(asio::buffer(encodeMarkAnswer({*askedAt, m_hooks.mark()})), from,
--- a/tests/gateway/test_store_evidence.cpp
+++ b/tests/gateway/test_store_evidence.cpp
@@ -82,53 +82,83 @@
     EXPECT_EQ(current.provenAt(kind), start + seconds(5) - milliseconds(100));
 }
 
+TEST(StoreEvidence, aListMayHoldDeletionsThatItDoesntShow)
+{
+    StoreEvidence placer;
+    placer.listed(kind, revision(20), revision(15));
+    placer.proven(kind, start);
+    StoreEvidence behind;
+    behind.applied(kind, revision(18), revision(15));
+    behind.take(placer.mark(start), start, start);
+    EXPECT_EQ(behind.provenAt(kind), TimePoint{});
+    // Instances start at different revisions; that alone makes none list again.
+    EXPECT_TRUE(behind.overdue(start + seconds(9)).empty());
+
+    placer.listed(kind, revision(30), revision(15));
+    behind.take(placer.mark(start), start, start);
+    EXPECT_EQ(behind.overdue(start + seconds(9)), std::vector{kind});
+}
+
 /// No change is dated after it happened, whatever is lost, late or asked when.
 RC_GTEST_PROP(StoreEvidence, neverDatesAChangeTooLate, ())
 {
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(1, 400)));
+        rc::gen::pair(rc::gen::inRange(0, 7), rc::gen::inRange(1, 400)));
     StoreEvidence placer;
     StoreEvidence self;
     TimePoint now = start;
     std::uint64_t number = 1;
+    StoreRevision lastObject;
     std::vector<std::pair<StoreRevision, TimePoint>> changes; ///< Of the kind; unknown to self.
     std::optional<std::pair<StoreMark, TimePoint>> underWay;
+    const auto check = [&] {
+        for (const auto &[change, at] : changes) {
+            RC_ASSERT(self.changedSince(kind, change) <= at);
+            // By this time the deletions in a list are dated.
+            RC_ASSERT(self.provenAt(kind) <= at);
+        }
+    };
     for (const auto &[step, ms] : steps) {
         now += milliseconds(ms);
         switch (step) {
-        case 0: // A change of the kind.
+        case 0: // An object changes.
+            lastObject = revision(++number);
+            changes.emplace_back(lastObject, now);
+            break;
+        case 1: // An object is deleted.
             changes.emplace_back(revision(++number), now);
             break;
-        case 1: // A write of the placer.
+        case 2: // The placer writes something else.
             placer.observed(revision(++number), now);
             break;
-        case 2: // The placer lists.
-            placer.applied(kind, revision(number), revision(number));
+        case 3: // The placer lists.
+            placer.listed(kind, revision(number), lastObject);
             placer.proven(kind, now);
             placer.observed(revision(number), now);
             break;
-        case 3: // A question to the placer, or the answer to the last one.
+        case 4: // A question to the placer, or the answer to the last one.
             if (underWay)
                 self.take(underWay->first, underWay->second, now);
             underWay = std::pair(placer.mark(now), now);
             break;
-        default: // This instance reads the store.
-            for (const auto &[change, at] : changes)
-                RC_ASSERT(self.changedSince(kind, change) <= at);
+        case 5: // This instance lists.
+            check();
             changes.clear();
-            self.applied(kind, revision(number), revision(number));
+            self.listed(kind, revision(number), lastObject);
             self.proven(kind, now);
+            break;
+        default: // Time passes.
+            break;
         }
+        check();
     }
-    for (const auto &[change, at] : changes)
-        RC_ASSERT(self.changedSince(kind, change) <= at);
 }
 
 TEST(StoreMark, isReadAsItWasWritten)
 {
     MarkAnswer answer;
     answer.askedAt = start;
-    answer.mark.kinds[kind] = {revision(7, 3), milliseconds(40)};
+    answer.mark.kinds[kind] = {revision(7, 3), revision(5, 3), milliseconds(40)};
     answer.mark.revisions.emplace_back(revision(9, 3), milliseconds(120));
     const auto bytes = encodeMarkAnswer(answer);
     ASSERT_TRUE(isMarkAnswer(bytes));
@@ -138,6 +168,7 @@
     EXPECT_EQ(read->askedAt, start);
     ASSERT_TRUE(read->mark.kinds.contains(kind));
     EXPECT_EQ(read->mark.kinds.at(kind).lastChange, revision(7, 3));
+    EXPECT_EQ(read->mark.kinds.at(kind).lastList, revision(5, 3));
     EXPECT_EQ(read->mark.kinds.at(kind).age, milliseconds(40));
     ASSERT_EQ(read->mark.revisions.size(), 1U);
     EXPECT_EQ(read->mark.revisions.front().first, revision(9, 3));
@@ -147,7 +178,7 @@
 TEST(StoreMark, damagedOnesAreRefused)
 {
     MarkAnswer answer;
-    answer.mark.kinds[kind] = {revision(7), milliseconds(40)};
+    answer.mark.kinds[kind] = {revision(7), revision(7), milliseconds(40)};
     std::vector<std::uint8_t> bytes = encodeMarkAnswer(answer);
     for (std::size_t size = 0; size < bytes.size(); ++size)
         EXPECT_FALSE(decodeMarkAnswer({bytes.begin(), bytes.begin() + std::ptrdiff_t(size)}));
