--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -10,9 +10,11 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <set>
+#include <utility>
 
 namespace yuccaspan::soak {
 
@@ -23,6 +25,8 @@
 namespace asio = gateway::asio;
 
 constexpr std::size_t chunkBytes = 16384;
+/// Bytes of a request in which its path is looked for.
+constexpr std::size_t maxHead = 512;
 /// How often held bytes look whether they may pass.
 constexpr Duration heldLook = std::chrono::milliseconds(10);
 
@@ -61,6 +65,7 @@
 
         tcp::socket client;
         tcp::socket server;
+        std::string head; ///< Start of what the client sent last.
         int openWays = 2; ///< Directions that still pass bytes.
     };
     using LinkPtr = std::shared_ptr<Link>;
@@ -87,7 +92,7 @@
     asio::awaitable<void> connect(LinkPtr link)
     {
         const auto self = shared_from_this();
-        co_await hold(&ProxyFaults::toServer);
+        co_await hold(*link, &ProxyFaults::toServer);
         const auto [failure] = co_await link->server.async_connect(target, asTuple);
         if (failure) {
             link->reset();
@@ -100,15 +105,21 @@
                        asio::detached);
     }
 
+    bool holdsAnswer(const Link &link, Passage ProxyFaults::*way) const
+    {
+        return way == &ProxyFaults::toClient && !faults.heldRequests.empty()
+            && link.head.find(faults.heldRequests) != std::string::npos;
+    }
+
     /// Waits for the delay, and for as long as the direction is held.
-    asio::awaitable<void> hold(Passage ProxyFaults::*way)
+    asio::awaitable<void> hold(const Link &link, Passage ProxyFaults::*way)
     {
         asio::steady_timer timer(io);
         if (faults.delay > Duration::zero()) {
             timer.expires_after(faults.delay);
             co_await timer.async_wait(asTuple);
         }
-        while (faults.*way == Passage::Held) {
+        while (faults.*way == Passage::Held || holdsAnswer(link, way)) {
             timer.expires_after(heldLook);
             co_await timer.async_wait(asTuple);
         }
@@ -123,7 +134,9 @@
         while (true) {
             const auto [failure, count] =
                 co_await from.async_read_some(asio::buffer(bytes), asTuple);
-            co_await hold(way);
+            if (way == &ProxyFaults::toServer)
+                link->head.assign(bytes.data(), std::min(count, maxHead));
+            co_await hold(*link, way);
             if (!failure && wasReset(from)) {
                 link->reset();
                 break;
@@ -188,7 +201,7 @@
 
 void FaultProxy::setFaults(ProxyFaults faults)
 {
-    m_impl->faults = faults;
+    m_impl->faults = std::move(faults);
 }
 
 void FaultProxy::resetAll()
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -23,6 +23,7 @@
     Passage toClient = Passage::Open;
     Duration delay{}; ///< Of each direction.
     bool refuses = false; ///< New connections are reset.
+    std::string heldRequests; ///< Answers to requests whose head contains this wait; empty: none.
 };
 
 /// \brief Passes connections on to a server.
--- a/soak/troubles.cpp
+++ b/soak/troubles.cpp
@@ -28,12 +28,13 @@
 
 } // namespace
 
-const std::array<Troubles::Kind, 19> Troubles::kinds{{
+const std::array<Troubles::Kind, 20> Troubles::kinds{{
     {"stop", &Troubles::stopInstance, true},
     {"reload", &Troubles::reloadInstance, true},
     {"drain", &Troubles::drainTarget, true},
     {"evacuate", &Troubles::evacuateZone, true},
     {"settings", &Troubles::changeSettings, true},
+    {"silent-watches", &Troubles::silenceWatches, true},
     {"kill", &Troubles::killInstance, false},
     {"freeze", &Troubles::freezeInstance, false},
     {"kill-placer", &Troubles::killPlacerAfterChange, false},
@@ -281,6 +282,24 @@
     instance->busy = false;
 }
 
+/// As while the platform's store compacts: for a second watches hear nothing, all other calls are
+/// answered. That excuses nothing.
+asio::awaitable<void> Troubles::silenceWatches()
+{
+    Instance *instance =
+        takeInstance(m_deployment.random()() % 2 == 0 ? m_deployment.placer() : std::string());
+    if (instance == nullptr)
+        co_return;
+    note("silence the watches of " + instance->name);
+    ProxyFaults faults;
+    faults.heldRequests = "?watch=";
+    instance->storeLink->setFaults(faults);
+    co_await pause(between(300, 1200));
+    instance->storeLink->setFaults({});
+    note("watches of " + instance->name + " hear again");
+    instance->busy = false;
+}
+
 asio::awaitable<void> Troubles::crashTarget()
 {
     TargetPlace *place = takeTarget();
--- a/soak/troubles.hpp
+++ b/soak/troubles.hpp
@@ -41,7 +41,7 @@
         Action action;
         bool planned; ///< Nothing that a caller may be cut or delayed by.
     };
-    static const std::array<Kind, 19> kinds;
+    static const std::array<Kind, 20> kinds;
 
     // Instances.
     boost::asio::awaitable<void> killInstance();
@@ -55,6 +55,7 @@
     boost::asio::awaitable<void> storeLosesAnswers();
     boost::asio::awaitable<void> storeForgets();
     boost::asio::awaitable<void> cutFromStore();
+    boost::asio::awaitable<void> silenceWatches();
     // Targets, and the way to them.
     boost::asio::awaitable<void> crashTarget();
     boost::asio::awaitable<void> cutTarget();
