A list of what is overdue doesn't cost the source in use (DRAIN)

Change: the list is made beside the watch. What it brings reaches the watch as news; only where the store has answered it and the change still isn't in force is the watch restarted. A change has 0.2 s more to arrive over several instances.

No test of the instance that the store turns away: the state that it asks of its peers hides the fault in the stand-in.

--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -2,6 +2,9 @@
 
 #include "gateway/control.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <array>
 
@@ -22,6 +25,10 @@
 /// Maximum delay of an instance's list of what is overdue, so that not all come at once.
 constexpr Duration maxCatchUpDelay = std::chrono::milliseconds(300);
 constexpr Duration catchUpDelayPerInstance = std::chrono::microseconds(2500);
+/// Further time for a change to arrive over several instances.
+constexpr Duration hopsDelay = std::chrono::milliseconds(200);
+/// Time for what a list brought to come into force as news.
+constexpr Duration newsDelay = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -109,14 +116,29 @@
         return;
     const Duration most =
         std::min(maxCatchUpDelay, catchUpDelayPerInstance * m_gateway.share.instances);
-    for (const ObjectKind kind : m_evidence.overdue(m_gateway.now() - delayOfInstance(most))) {
+    const Duration hops = m_gateway.store.fromPeers() ? hopsDelay : Duration::zero();
+    const TimePoint dueBy = m_gateway.now() - hops - delayOfInstance(most);
+    for (const ObjectKind kind : m_evidence.overdue(dueBy)) {
         m_gateway.metrics.count("store-behind", toString(kind));
         m_gateway.log.write("store", "behind",
                             {{"kind", toString(kind)},
                              {"revision", revisionJson(m_revisions[kind])},
                              {"fromPeers", m_gateway.store.fromPeers()}});
-        relist(kind);
+        asio::co_spawn(m_gateway.loop, listOverdue(kind), asio::detached);
     }
 }
 
+/// Lists a kind beside its watch. If the store doesn't answer, the source in use is kept, which may
+/// be a peer that has the change soon.
+asio::awaitable<void> Control::listOverdue(ObjectKind kind)
+{
+    // With a peer as the source, the list reaches the watch as news.
+    const Result<StoredObjects> listed = co_await m_gateway.store.list(kind);
+    if (!listed)
+        co_return;
+    co_await pause(newsDelay);
+    if (m_evidence.misses(kind))
+        relist(kind);
+}
+
 } // namespace yuccaspan::gateway
