Instances that hear from peers don't list what is overdue

What they list reaches the others as news. The lists of an instance that hears from peers were what cost it that source where the store turns it away.

Tests: SilentWatches.* and StoreEvidence.* pass. aHungWatchOfBeforeDoesntHideWhatPeersTell passes too, though its child hears from peers; by which way it is helped there was not traced.

--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -82,7 +82,6 @@
     [[nodiscard]] bool checksKinds() const;
     asio::awaitable<bool> checkKind(ObjectKind kind);
     void catchUp();
-    asio::awaitable<void> listOverdue(ObjectKind kind);
     enum class AnswerForm { List, Changes };
     void recordAnswer(ObjectKind kind, AnswerForm form, const StoredObjects &answer,
                       TimePoint asOf);
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -2,9 +2,6 @@
 
 #include "gateway/control.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <array>
 
@@ -25,10 +22,6 @@
 /// Maximum delay of an instance's list of what is overdue, so that not all come at once.
 constexpr Duration maxCatchUpDelay = std::chrono::milliseconds(300);
 constexpr Duration catchUpDelayPerInstance = std::chrono::microseconds(2500);
-/// Further time for a change to arrive over several instances.
-constexpr Duration hopsDelay = std::chrono::milliseconds(200);
-/// Time for what a list brought to come into force as news.
-constexpr Duration newsDelay = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -109,36 +102,23 @@
     co_return true;
 }
 
-/// Lists the kinds of which a known change has not arrived.
+/// Lists the kinds of which a known change has not arrived. An instance that hears from peers
+/// leaves that to them: many would list at the same time, and lose their source where the store is
+/// away.
 void Control::catchUp()
 {
-    if (m_storeUnavailable)
+    if (m_storeUnavailable || m_gateway.store.fromPeers())
         return;
     const Duration most =
         std::min(maxCatchUpDelay, catchUpDelayPerInstance * m_gateway.share.instances);
-    const Duration hops = m_gateway.store.fromPeers() ? hopsDelay : Duration::zero();
-    const TimePoint dueBy = m_gateway.now() - hops - delayOfInstance(most);
-    for (const ObjectKind kind : m_evidence.overdue(dueBy)) {
+    for (const ObjectKind kind : m_evidence.overdue(m_gateway.now() - delayOfInstance(most))) {
         m_gateway.metrics.count("store-behind", toString(kind));
         m_gateway.log.write("store", "behind",
                             {{"kind", toString(kind)},
                              {"revision", revisionJson(m_revisions[kind])},
                              {"fromPeers", m_gateway.store.fromPeers()}});
-        asio::co_spawn(m_gateway.loop, listOverdue(kind), asio::detached);
-    }
-}
-
-/// Lists a kind beside its watch. If the store doesn't answer, the source in use is kept, which may
-/// be a peer that has the change soon.
-asio::awaitable<void> Control::listOverdue(ObjectKind kind)
-{
-    // With a peer as the source, the list reaches the watch as news.
-    const Result<StoredObjects> listed = co_await m_gateway.store.list(kind);
-    if (!listed)
-        co_return;
-    co_await pause(newsDelay);
-    if (m_evidence.misses(kind))
         relist(kind);
+    }
 }
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/evidence/store_evidence.cpp
+++ b/src/gateway/evidence/store_evidence.cpp
@@ -87,12 +87,6 @@
     return kinds;
 }
 
-bool StoreEvidence::misses(ObjectKind kind) const
-{
-    const auto found = m_kinds.find(kind);
-    return found != m_kinds.end() && found->second.told > found->second.upTo;
-}
-
 StoreMark StoreEvidence::mark(TimePoint now) const
 {
     StoreMark mark;
--- a/src/gateway/evidence/store_evidence.hpp
+++ b/src/gateway/evidence/store_evidence.hpp
@@ -57,9 +57,6 @@
     /// \brief Kinds of which a change that was told has not come into force in its time.
     [[nodiscard]] std::vector<ObjectKind> overdue(TimePoint now);
 
-    /// \brief Whether a change that was told is not in force.
-    [[nodiscard]] bool misses(ObjectKind kind) const;
-
     /// \brief What this instance can prove to others.
     [[nodiscard]] StoreMark mark(TimePoint now) const;
     /// \brief Takes in the proofs of another instance.
