Logs and metrics: the age of the proof of targets when a request is sent

The request's line has proofMs (time for which it can prove that it misses no change of targets) and leavingMs (since when the target counts as leaving by the instance's own dating); yuccaspan_proof_age_seconds is the histogram. StoreEvidence moves from Control to Gateway, where requests are decided. No decision changes.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -508,6 +508,10 @@
                               {"tookMs", Milliseconds(now - flow.arrived).count()},
                               {"status", end.response.result_int()},
                               {"reason", toString(end.reason)}};
+        if (flow.sends > 0)
+            fields["proofMs"] = Milliseconds(flow.proofAge).count();
+        if (flow.unwantedFor)
+            fields["leavingMs"] = Milliseconds(*flow.unwantedFor).count();
         if (flow.workspace != nullptr)
             fields["workspace"] = flow.workspace->name;
         if (exchange.ahead > 0)
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -52,7 +52,7 @@
     hooks.storeUnavailable = [this] { return m_storeUnavailable; };
     hooks.state = [this] { return sharedState(); };
     hooks.settings = [this](const StoredObject &object) {
-        dateChanges(m_evidence.changedSince(ObjectKind::Settings, object.revision));
+        dateChanges(m_gateway.evidence.changedSince(ObjectKind::Settings, object.revision));
         m_changeOrigin = ChangeOrigin::PeerState;
         onSettingsChanged(object);
     };
@@ -66,10 +66,10 @@
             return;
         setListedEvacuations({zones.begin(), zones.end()});
     };
-    hooks.mark = [this] { return m_evidence.mark(m_gateway.now()); };
+    hooks.mark = [this] { return m_gateway.evidence.mark(m_gateway.now()); };
     hooks.takeMark = [this](const StoreMark &mark, TimePoint askedAt) {
         m_markTakenAt = m_gateway.now();
-        m_evidence.take(mark, askedAt, m_markTakenAt);
+        m_gateway.evidence.take(mark, askedAt, m_markTakenAt);
     };
     return hooks;
 }
@@ -83,10 +83,10 @@
         return false;
     if (revision <= m_revisions[kind])
         return false;
-    dateChanges(m_evidence.provenAt(kind));
+    dateChanges(m_gateway.evidence.provenAt(kind));
     m_changeOrigin = ChangeOrigin::PeerState;
     m_revisions[kind] = revision;
-    m_evidence.listed(kind, revision, {});
+    m_gateway.evidence.listed(kind, revision, {});
     m_relist.insert(kind);
     return true;
 }
@@ -233,13 +233,13 @@
     if (eraBefore != m_era)
         m_relist.erase(follower.kind);
     logUnreadable(follower.kind, listed->unreadable);
-    dateChanges(m_evidence.provenAt(follower.kind));
+    dateChanges(m_gateway.evidence.provenAt(follower.kind));
     m_changeOrigin = ChangeOrigin::StoreList;
     revision = listed->revision;
     m_revisions[follower.kind] = revision;
     (this->*follower.onListed)(listed->objects);
     recordAnswer(follower.kind, AnswerForm::List, *listed, askedAt);
-    m_evidence.observed(listed->revision, askedAt);
+    m_gateway.evidence.observed(listed->revision, askedAt);
     // A store from a copy may lack the newest settings until the operator has written them again.
     if (follower.kind == ObjectKind::Settings && !inEraGrace())
         m_gateway.keyFreshness.currentAsOf(askedAt);
@@ -297,7 +297,7 @@
                 std::ranges::reverse(changes->objects);
             }
             for (const StoredObject &object : changes->objects) {
-                dateChanges(m_evidence.changedSince(follower.kind, object.revision));
+                dateChanges(m_gateway.evidence.changedSince(follower.kind, object.revision));
                 (this->*follower.onChanged)(object);
             }
             const Duration waited = changes->objects.empty() ? wait : Duration::zero();
@@ -308,7 +308,7 @@
             recordAnswer(follower.kind, AnswerForm::Changes, *changes, asOf);
             // With changes, the revision may be that of the last one.
             if (!changes->knownAt && changes->objects.empty())
-                m_evidence.observed(changes->revision, asOf);
+                m_gateway.evidence.observed(changes->revision, asOf);
             if (follower.kind == ObjectKind::Targets && !m_returning.empty())
                 applyEvacuations();
             if (changes->objects.empty())
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -3,7 +3,6 @@
 /// the placer lease.
 #pragma once
 
-#include "gateway/evidence/store_evidence.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/peer_link.hpp"
 #include "gateway/placer_lease.hpp"
@@ -165,7 +164,6 @@
     std::set<ObjectKind> m_relist; ///< Kinds to list before they are watched again.
     std::map<std::string, std::string> m_instances; ///< Peer address by name.
     std::map<ObjectKind, StoreRevision> m_revisions; ///< Store revision last read, by kind.
-    StoreEvidence m_evidence;
     TimePoint m_markTakenAt{}; ///< When the placer last proved something.
     TimePoint m_changedSince{}; ///< Earliest time of the changes being applied.
     ChangeOrigin m_changeOrigin = ChangeOrigin::StoreList; ///< Of the changes being applied.
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -36,13 +36,13 @@
     for (const StoredObject &object : answer.objects)
         lastChange = std::max(lastChange, object.revision);
     if (form == AnswerForm::List)
-        m_evidence.listed(kind, answer.revision, lastChange);
+        m_gateway.evidence.listed(kind, answer.revision, lastChange);
     else
-        m_evidence.applied(kind, answer.revision, lastChange);
+        m_gateway.evidence.applied(kind, answer.revision, lastChange);
     // A store from a copy may lack changes until they have been written again.
     const bool fromStore = !answer.knownAt && !answer.mayHaveMore && !inEraGrace();
     if (fromStore)
-        m_evidence.proven(kind, asOf);
+        m_gateway.evidence.proven(kind, asOf);
 }
 
 /// Whether this instance proves to itself that it misses nothing. The placer proves it for all.
@@ -63,7 +63,7 @@
     while (true) {
         co_await pause(checkInterval);
         const ObjectKind kind = checkedKinds.at(turn++ % checkedKinds.size());
-        const Duration age = m_gateway.now() - m_evidence.provenAt(kind);
+        const Duration age = m_gateway.now() - m_gateway.evidence.provenAt(kind);
         const bool due = placing() || age >= ownCheckFrom;
         if (!checksKinds() || !due || m_relist.contains(kind))
             continue;
@@ -94,11 +94,11 @@
         co_return true;
     m_gateway.metrics.count("store-check", changes->objects.empty() ? "current" : "changes");
     if (changes->objects.empty()) {
-        m_evidence.proven(kind, sentAt);
-        m_evidence.observed(changes->revision, sentAt);
+        m_gateway.evidence.proven(kind, sentAt);
+        m_gateway.evidence.observed(changes->revision, sentAt);
     }
     for (const StoredObject &object : changes->objects)
-        m_evidence.told(kind, object.revision, m_gateway.now());
+        m_gateway.evidence.told(kind, object.revision, m_gateway.now());
     co_return true;
 }
 
@@ -111,7 +111,8 @@
         return;
     const Duration most =
         std::min(maxCatchUpDelay, catchUpDelayPerInstance * m_gateway.share.instances);
-    for (const ObjectKind kind : m_evidence.overdue(m_gateway.now() - delayOfInstance(most))) {
+    for (const ObjectKind kind :
+         m_gateway.evidence.overdue(m_gateway.now() - delayOfInstance(most))) {
         m_gateway.metrics.count("store-behind", toString(kind));
         m_gateway.log.write("store", "behind",
                             {{"kind", toString(kind)},
--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -112,7 +112,7 @@
         co_return;
     if (written.end == WriteEnd::Stored) {
         m_lease.stored(record, written.object.revision, sentAt);
-        m_evidence.observed(written.object.revision, sentAt);
+        m_gateway.evidence.observed(written.object.revision, sentAt);
         m_wasPlacing = true;
         m_gateway.log.write(
             "placement", "lease-taken",
@@ -137,7 +137,7 @@
         co_return;
     if (written.end == WriteEnd::Stored) {
         m_lease.stored(record, written.object.revision, sentAt);
-        m_evidence.observed(written.object.revision, sentAt);
+        m_gateway.evidence.observed(written.object.revision, sentAt);
         co_return;
     }
     if (written.end != WriteEnd::Conflict)
@@ -358,7 +358,7 @@
             continue;
         }
         if (written.end == WriteEnd::Stored)
-            m_evidence.observed(written.object.revision, sentAt);
+            m_gateway.evidence.observed(written.object.revision, sentAt);
         placing = findPlacing(service, id);
         if (placing == nullptr)
             co_return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/caller_connections.hpp"
 #include "gateway/event_log.hpp"
+#include "gateway/evidence/store_evidence.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "gateway/http_call.hpp"
 #include "gateway/key_load.hpp"
@@ -107,6 +108,7 @@
     GatewayMetrics metrics;
     const std::shared_ptr<MessageMemory> bodies; ///< Memory of the buffered bodies.
 
+    StoreEvidence evidence; ///< What the answers of the store prove.
     TargetDirectory directory;
     std::shared_ptr<const DesiredState> desired;
     RouteIndex routes;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -49,6 +49,12 @@
             .Help("Longest possible time from a change at the store until it came into force.")
             .Register(registry);
     std::map<std::string, prometheus::Histogram *, std::less<>> changeAgeHistograms;
+    prometheus::Histogram &proofAge =
+        prometheus::BuildHistogram()
+            .Name("yuccaspan_proof_age_seconds")
+            .Help("Time since all changes of targets were known, when a request is sent to one.")
+            .Register(registry)
+            .Add({}, lagBounds);
     std::map<Labels, prometheus::Counter *> requestCounters;
     std::map<std::string, prometheus::Histogram *> histograms;
     std::map<Labels, prometheus::Counter *, std::less<>> eventCounters;
@@ -91,6 +97,11 @@
     histogram->Observe(std::chrono::duration<double>(age).count());
 }
 
+void GatewayMetrics::proofAge(Duration age)
+{
+    m_state->proofAge.Observe(std::chrono::duration<double>(age).count());
+}
+
 void GatewayMetrics::loopLag(Duration lag)
 {
     m_state->lag.Observe(std::chrono::duration<double>(lag).count());
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -28,6 +28,8 @@
     /// \brief Records how long ago a change that comes into force can have taken effect at most.
     /// \param origin How the instance learned of it.
     void changeAge(std::string_view origin, Duration age);
+    /// \brief Records the age of the proof of the targets when a request is sent to one.
+    void proofAge(Duration age);
     /// \brief Records the lag of the event loop.
     void loopLag(Duration lag);
     /// \brief All metrics in the Prometheus text format.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -78,6 +78,17 @@
     return known != nullptr && known->cold(now);
 }
 
+/// Records what is known of a target at the moment at which a request is sent to it.
+void recordKnowledge(Gateway &gateway, Flow &flow, const LiveTarget &target)
+{
+    const TimePoint now = gateway.now();
+    flow.proofAge = now - gateway.evidence.provenAt(ObjectKind::Targets);
+    gateway.metrics.proofAge(flow.proofAge);
+    const Target *known = gateway.directory.find(target.entry.id);
+    const auto since = known == nullptr ? std::nullopt : gateway.directory.unwantedSince(*known);
+    flow.unwantedFor = since ? std::optional<Duration>(now - *since) : std::nullopt;
+}
+
 asio::awaitable<Attempt> sendTo(Gateway &gateway, const std::shared_ptr<Flow> &flow,
                                 const std::shared_ptr<LiveTarget> &target, TimePoint sendBefore,
                                 bool resend)
@@ -94,8 +105,11 @@
     options.maySend = [&gateway, flow, target, sendBefore] {
         flow->callerGone = flow->callerGone || flow->callerClosed();
         const TimePoint now = gateway.now();
-        return !flow->callerGone && now < flow->deadline && now < sendBefore
+        const bool allowed = !flow->callerGone && now < flow->deadline && now < sendBefore
             && !target->gate.closed(now);
+        if (allowed)
+            recordKnowledge(gateway, *flow, *target);
+        return allowed;
     };
     options.belongs = [&gateway, flow](const HttpResponse &response) {
         return gateway.protocol.readAnswer(response).requestId == flow->facts.requestId;
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -59,6 +59,8 @@
     bool sentCold = false; ///< Whether the last target counted as cold when it was sent there.
     std::uint64_t fence = 0; ///< Fencing token of the key's owner.
     std::uint64_t mapWrite = 0; ///< Version of the shard map.
+    Duration proofAge{}; ///< Time since all changes of targets were known, at the last sending.
+    std::optional<Duration> unwantedFor; ///< How long the last target was to get nothing, then.
 };
 
 /// \brief The result of a request.
