--- a/tests/gateway/shared_store.cpp
+++ b/tests/gateway/shared_store.cpp
@@ -7,8 +7,14 @@
 namespace {
 
 constexpr Duration pollInterval = std::chrono::milliseconds(5);
+constexpr Duration callTimeout = std::chrono::milliseconds(400);
 constexpr std::uint64_t era = 0;
 
+Error noAnswer()
+{
+    return {ErrorCode::Timeout, "no answer from the store", {}};
+}
+
 } // namespace
 
 void SharedStore::set(ObjectKind kind, const std::string &name, const std::string &text)
@@ -22,9 +28,20 @@
     ++cuts;
 }
 
+/// Waits for the end of a call that isn't answered.
+asio::awaitable<void> StoreConnection::awaitAnswer()
+{
+    asio::steady_timer timer(m_loop, callTimeout);
+    co_await timer.async_wait(asTuple);
+}
+
 asio::awaitable<Result<StoredObjects>> StoreConnection::list(ObjectKind kind)
 {
     ++lists[kind];
+    if (cutOff) {
+        co_await awaitAnswer();
+        co_return noAnswer();
+    }
     StoredObjects out;
     out.revision = {era, m_shared.revision};
     for (const auto &[name, object] : m_shared.objects[kind])
@@ -43,10 +60,10 @@
     StoredObjects out;
     while (!cancelled && cuts == m_shared.cuts) {
         for (const auto &[name, object] : m_shared.objects[kind]) {
-            if (!watchesSilent && object.revision > revision)
+            if (!watchesSilent && !cutOff && object.revision > revision)
                 out.objects.push_back(object);
         }
-        if (!watchesSilent
+        if (!watchesSilent && !cutOff
             && (!out.objects.empty() || std::chrono::steady_clock::now() >= end
                 || revision.number < m_shared.forgotten))
             break;
@@ -68,6 +85,10 @@
 asio::awaitable<Result<StoredObject>> StoreConnection::get(ObjectKind kind, const std::string &name,
                                                            bool /*maybeOld*/)
 {
+    if (cutOff) {
+        co_await awaitAnswer();
+        co_return noAnswer();
+    }
     const auto found = m_shared.objects[kind].find(name);
     if (found == m_shared.objects[kind].end())
         co_return Error{ErrorCode::NotFound, "none", {}};
@@ -77,6 +98,10 @@
 asio::awaitable<WriteResult> StoreConnection::put(ObjectKind kind, const std::string &name,
                                                   const std::string &text, StoreRevision revision)
 {
+    if (cutOff) {
+        co_await awaitAnswer();
+        co_return WriteResult{WriteEnd::Unknown, {}};
+    }
     const auto found = m_shared.objects[kind].find(name);
     const bool exists = found != m_shared.objects[kind].end();
     if (exists && found->second.revision != revision)
--- a/tests/gateway/shared_store.hpp
+++ b/tests/gateway/shared_store.hpp
@@ -41,10 +41,13 @@
                                      const std::string &text, StoreRevision revision) override;
 
     bool watchesSilent = false; ///< Watches aren't answered; all other calls are.
+    bool cutOff = false; ///< No call is answered.
     std::map<ObjectKind, int> lists; ///< Calls by kind.
     Duration longestWait = std::chrono::milliseconds(500); ///< After which a watch is answered.
 
 private:
+    asio::awaitable<void> awaitAnswer();
+
     asio::io_context &m_loop;
     SharedStore &m_shared;
 };
--- a/tests/gateway/test_silent_watches.cpp
+++ b/tests/gateway/test_silent_watches.cpp
@@ -1,15 +1,7 @@
 // Instances whose watches at the store hear nothing while all their other calls are answered.
 
-#include "gateway/boottime_clock.hpp"
-#include "gateway/control.hpp"
-#include "gateway/control_doubles.hpp"
-#include "gateway/gateway_server.hpp"
-#include "gateway/news/news_store.hpp"
-#include "gateway/shared_store.hpp"
+#include "gateway/store_fleet.hpp"
 
-#include <gtest/gtest.h>
-
-#include <memory>
 #include <vector>
 
 namespace yuccaspan::gateway {
@@ -19,130 +11,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// The text of a target is its state, that of the settings their version.
-class TextCodec final : public PlatformCodec
-{
-public:
-    [[nodiscard]] Result<TargetEntry> target(const StoredObject &object) const override
-    {
-        TargetEntry entry;
-        entry.id = object.name;
-        entry.incarnation = 1;
-        entry.service = "s";
-        entry.address = "127.0.0.1:1";
-        entry.zone = "z";
-        entry.draining = object.text == "draining";
-        return entry;
-    }
-    [[nodiscard]] Result<DesiredState> desiredState(const StoredObject &object) const override
-    {
-        DesiredState state;
-        state.version = std::stoull(object.text);
-        Service service;
-        service.name = "s";
-        state.services.emplace("s", service);
-        return state;
-    }
-};
-
-struct Instance
-{
-    Instance(asio::io_context &loop, SharedStore &shared, const std::string &name,
-             const std::string &address, std::uint32_t newsFromInstances)
-        : store(loop, shared),
-          news(loop, store,
-               {.name = name, .zone = "z", .fromInstances = newsFromInstances, .timing = {}}),
-          log(std::make_unique<SilentLog>(), clock, name),
-          gateway(loop, clock, log, protocol, news, codec, options(name, address)),
-          control(gateway, "1")
-    {
-        auto created = GatewayServer::create(
-            gateway, [this](const std::string &asked) { return control.answerState(asked); });
-        EXPECT_TRUE(created);
-        server = std::move(*created);
-        server->setNewsHandler([this](std::string asked) { return news.answer(std::move(asked)); });
-        news.start(gateway, [this] { return control.placing(); });
-        server->start();
-    }
-
-    static GatewayOptions options(const std::string &name, const std::string &address)
-    {
-        GatewayOptions out;
-        out.name = name;
-        out.zone = "z";
-        out.callerAddress = "127.0.0.1:0";
-        out.readinessAddress = "127.0.0.1:0";
-        out.peerAddress = address;
-        return out;
-    }
-
-    [[nodiscard]] std::optional<TimePoint> leavingSince() const
-    {
-        const Target *target = gateway.directory.find("t");
-        return target == nullptr ? std::nullopt : target->leavingSince;
-    }
-    [[nodiscard]] std::uint64_t version() const
-    {
-        return gateway.desired ? gateway.desired->version : 0;
-    }
-
-    BoottimeClock clock;
-    StoreConnection store;
-    NewsStore news;
-    EventLog log;
-    NoProtocol protocol;
-    TextCodec codec;
-    Gateway gateway;
-    Control control;
-    std::unique_ptr<GatewayServer> server;
-};
-
-/// Three instances of one zone: two readers of the store and a child.
-struct Fleet3
-{
-    explicit Fleet3(std::uint32_t newsFromInstances)
-    {
-        shared.set(ObjectKind::Settings, "main", "1");
-        shared.set(ObjectKind::Targets, "t", "ready");
-        const std::vector<std::string> names{"a", "b", "c"};
-        for (const std::string &name : names) {
-            const std::string address = freeAddress();
-            all.push_back(
-                std::make_unique<Instance>(loop, shared, name, address, newsFromInstances));
-            const bool reader = newsPlace(names, name).reader;
-            (reader ? readers : children).push_back(all.back().get());
-        }
-    }
-
-    std::string freeAddress()
-    {
-        const tcp::acceptor free(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-        return "127.0.0.1:" + std::to_string(free.local_endpoint().port());
-    }
-    /// A reader takes the placer lease.
-    void start()
-    {
-        for (Instance *reader : readers)
-            EXPECT_TRUE(reader->control.start());
-        loop.run_for(milliseconds(500));
-        for (Instance *child : children)
-            EXPECT_TRUE(child->control.start());
-        loop.run_for(seconds(2));
-    }
-    void setSilent(bool silent)
-    {
-        for (const auto &instance : all)
-            instance->store.watchesSilent = silent;
-    }
-    [[nodiscard]] TimePoint now() const { return all.front()->gateway.now(); }
-
-    asio::io_context loop;
-    SharedStore shared;
-    std::vector<std::unique_ptr<Instance>> all;
-    std::vector<Instance *> readers;
-    std::vector<Instance *> children;
-};
-
 constexpr std::uint32_t withoutNews = 0;
 constexpr std::uint32_t withNews = 3;
 
--- /dev/null
+++ b/tests/gateway/test_unproven_targets.cpp
@@ -0,0 +1,90 @@
+// Instances that lack any proof that they know all changes of targets.
+
+#include "gateway/store_fleet.hpp"
+#include "gateway/target_choice.hpp"
+
+namespace yuccaspan::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration sampleInterval = milliseconds(20);
+
+/// Whether an instance would send a new request now.
+bool sends(Instance &instance)
+{
+    Gateway &gateway = instance.gateway;
+    Route route;
+    route.name = "r";
+    Flow flow;
+    flow.state = gateway.desired;
+    flow.route = &route;
+    flow.service = "s";
+    flow.arrived = gateway.now();
+    flow.deadline = gateway.now() + seconds(1);
+    return chooseTarget(gateway, flow, {}).kind == TargetChoice::Kind::Send;
+}
+
+Instance &placerOf(Fleet3 &fleet)
+{
+    for (const auto &instance : fleet.all) {
+        if (instance->control.placing())
+            return *instance;
+    }
+    ADD_FAILURE() << "no placer";
+    return *fleet.all.front();
+}
+
+/// Longest time after a moment for which an instance other than the given one sends.
+Duration sendsFor(Fleet3 &fleet, const Instance &except, TimePoint from, Duration span)
+{
+    Duration longest{};
+    while (fleet.now() < from + span) {
+        fleet.loop.run_for(sampleInterval);
+        const TimePoint asked = fleet.now();
+        for (const auto &instance : fleet.all) {
+            if (instance.get() != &except && sends(*instance))
+                longest = std::max(longest, asked - from);
+        }
+    }
+    return longest;
+}
+
+/// Each fault alone is noticed in time by the other means.
+TEST(UnprovenTargets, areNotSentToWhileThePlacerIsCutOffAndWatchesAreSilent)
+{
+    for (const std::uint32_t newsFrom : {0U, 3U}) {
+        Fleet3 fleet(newsFrom);
+        fleet.start();
+        Instance &placer = placerOf(fleet);
+        fleet.setSilent(true);
+        placer.store.cutOff = true;
+        fleet.loop.run_for(milliseconds(300));
+        fleet.shared.set(ObjectKind::Targets, "t", "draining");
+        const Duration sent = sendsFor(fleet, placer, fleet.now(), seconds(5));
+        EXPECT_LE(sent, placer.gateway.options.drainWithin) << "news from " << newsFrom;
+    }
+}
+
+/// Those that the store answers must not stop serving for lack of a placer.
+TEST(UnprovenTargets, areProvenAgainWithoutAPlacer)
+{
+    for (const std::uint32_t newsFrom : {0U, 3U}) {
+        Fleet3 fleet(newsFrom);
+        fleet.start();
+        Instance &placer = placerOf(fleet);
+        placer.store.cutOff = true;
+        const TimePoint end = fleet.now() + seconds(4);
+        while (fleet.now() < end) {
+            fleet.loop.run_for(sampleInterval);
+            for (const auto &instance : fleet.all)
+                EXPECT_TRUE(sends(*instance)) << instance->gateway.options.name;
+        }
+    }
+}
+
+} // namespace
+
+} // namespace yuccaspan::gateway
