Requests are sent only on a proof that no target left unnoticed (DRAIN)

What callers saw: requests of theirs reached targets more than drain_s after these had said that they leave.

Cause: proofs (StoreEvidence) dated changes, but the absence of proofs changed nothing. An instance whose news were late and whose proof was older than the bound knew nothing of a target that had left and sent on. Only the placer proved anything; its loss, a watch that hears nothing, or a change that reached an instance late left it without proofs for seconds. Class: absence of news taken for news of absence.

Change: the decision to send depends on the age of the proof of targets (drain_s) and of evacuations (evacuation_s). Beyond it a request waits, and is rejected with 503 (targets-unproven) at its deadline. So that this is rare, no instance's loss leaves the others without proofs (ProofRenewal): three deputies check the store when the placer's proofs stay away, every instance answers questions for proofs, and one that nobody can prove anything to checks for itself. Answers bring the changes that the asking instance lacks, so that news and proofs no longer depend on different paths. All changes pass through one log of what is known, so that an older list or watch doesn't undo what came with a proof. A kind without objects (evacuations, mostly) is proven as well. While the store is away for all there is no limit: nothing can have been acknowledged, and callers are served on.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -34,6 +34,15 @@
 constexpr Duration instancesBatchDelay = std::chrono::milliseconds(1000);
 /// Exceeds every bound that counts from a change; nothing depends on how much older one is.
 constexpr Duration maxChangeAge = std::chrono::seconds(30);
+/// How long a proof of the settings lasts. The least bound of the users for new ones is 2 s.
+constexpr Duration settingsProofLimit = std::chrono::milliseconds(2500);
+
+std::map<ObjectKind, Duration> proofLimits(const GatewayOptions &options)
+{
+    return {{ObjectKind::Targets, options.drainWithin - sendStopMargin},
+            {ObjectKind::Evacuations, options.evacuateWithin - sendStopMargin},
+            {ObjectKind::Settings, settingsProofLimit}};
+}
 
 } // namespace
 
@@ -41,6 +50,7 @@
     : m_gateway(gateway),
       m_start(std::move(start)),
       m_lease(gateway.options.name, m_start),
+      m_proofs(gateway.options.name, proofLimits(gateway.options)),
       m_peers(gateway, peerHooks())
 { }
 
@@ -66,11 +76,10 @@
             return;
         setListedEvacuations({zones.begin(), zones.end()});
     };
-    hooks.mark = [this] { return m_gateway.evidence.mark(m_gateway.now()); };
-    hooks.takeMark = [this](const StoreMark &mark, TimePoint askedAt) {
-        m_markTakenAt = m_gateway.now();
-        m_gateway.evidence.take(mark, askedAt, m_markTakenAt);
-    };
+    hooks.mark = [this](const MarkQuestion &question) { return answerMark(question); };
+    hooks.takeMark = [this](const MarkAnswer &answer) { takeMark(answer); };
+    hooks.proofPeers = [this] { return proofPeers(); };
+    hooks.markQuestion = [this] { return markQuestion(); };
     return hooks;
 }
 
@@ -105,7 +114,7 @@
     return state;
 }
 
-Status Control::start()
+const Control::Follower &Control::followerOf(ObjectKind kind)
 {
     static constexpr std::array<Follower, 5> followers{{
         {ObjectKind::Settings, &Control::onSettingsListed, &Control::onSettingsChanged,
@@ -119,12 +128,17 @@
         {ObjectKind::Instances, &Control::onInstancesListed, &Control::onInstanceChanged,
          instancesBatchDelay},
     }};
-    for (const Follower &follower : followers)
-        asio::co_spawn(m_gateway.loop, follow(follower), asio::detached);
+    return *std::ranges::find(followers, kind, &Follower::kind);
+}
+
+Status Control::start()
+{
+    for (const ObjectKind kind : followedKinds)
+        asio::co_spawn(m_gateway.loop, follow(followerOf(kind)), asio::detached);
     asio::co_spawn(m_gateway.loop, registerInstance(), asio::detached);
     asio::co_spawn(m_gateway.loop, keepLease(), asio::detached);
     asio::co_spawn(m_gateway.loop, tickLoop(), asio::detached);
-    asio::co_spawn(m_gateway.loop, checkKinds(), asio::detached);
+    asio::co_spawn(m_gateway.loop, renewProofs(), asio::detached);
     return m_peers.start();
 }
 
@@ -148,6 +162,8 @@
         return;
     m_storeUnavailable = !answered;
     m_gateway.log.write("store", answered ? "regained" : "lost", {{"call", call}});
+    if (!answered)
+        m_proofs.storeFailed(m_gateway.now());
     if (answered)
         restartWatches();
 }
@@ -223,7 +239,7 @@
 asio::awaitable<bool> Control::listAll(const Follower &follower, StoreRevision &revision)
 {
     const TimePoint askedAt = m_gateway.now();
-    const Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
+    Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
     recordStoreCall(listed.hasValue(), "list");
     if (!listed)
         co_return false;
@@ -233,13 +249,9 @@
     if (eraBefore != m_era)
         m_relist.erase(follower.kind);
     logUnreadable(follower.kind, listed->unreadable);
-    dateChanges(m_gateway.evidence.provenAt(follower.kind));
-    m_changeOrigin = ChangeOrigin::StoreList;
     revision = listed->revision;
-    m_revisions[follower.kind] = revision;
-    (this->*follower.onListed)(listed->objects);
-    recordAnswer(follower.kind, AnswerForm::List, *listed, askedAt);
-    m_gateway.evidence.observed(listed->revision, askedAt);
+    m_changeOrigin = ChangeOrigin::StoreList;
+    applyList(follower, std::move(*listed), askedAt);
     // A store from a copy may lack the newest settings until the operator has written them again.
     if (follower.kind == ObjectKind::Settings && !inEraGrace())
         m_gateway.keyFreshness.currentAsOf(askedAt);
@@ -290,16 +302,14 @@
                 continue;
             logUnreadable(follower.kind, changes->unreadable);
             m_changeOrigin = changes->knownAt ? ChangeOrigin::PeerNews : ChangeOrigin::StoreWatch;
+            const StoreRevision asked = revision;
             revision = std::max(revision, changes->revision);
-            m_revisions[follower.kind] = revision;
+            m_revisions[follower.kind] = std::max(m_revisions[follower.kind], revision);
             if (follower.kind == ObjectKind::ShardMaps) {
                 // Each event holds a whole map. Once the newest is applied, the others are skipped.
                 std::ranges::reverse(changes->objects);
             }
-            for (const StoredObject &object : changes->objects) {
-                dateChanges(m_gateway.evidence.changedSince(follower.kind, object.revision));
-                (this->*follower.onChanged)(object);
-            }
+            applyChanges(follower, *changes, asked);
             const Duration waited = changes->objects.empty() ? wait : Duration::zero();
             const TimePoint asOf = KeyFreshness::answeredAsOf(askedAt, waited, m_gateway.now());
             const bool complete = !changes->mayHaveMore && !inEraGrace();
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -3,11 +3,14 @@
 /// the placer lease.
 #pragma once
 
+#include "gateway/evidence/proof_renewal.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/news/news_log.hpp"
 #include "gateway/peer_link.hpp"
 #include "gateway/placer_lease.hpp"
 #include "gateway/shard_placer.hpp"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,6 +24,7 @@
     StoreList,
     StoreWatch,
     PeerNews, ///< News of a peer, or the log that holds them.
+    ProofAnswer, ///< An answer to a question for proofs, or to a check of the store.
     PeerState, ///< State of a peer, requested while the store is unavailable.
 };
 
@@ -44,6 +48,12 @@
     asio::awaitable<void> leave();
 
 private:
+    static constexpr std::array followedKinds{ObjectKind::Settings, ObjectKind::Targets,
+                                              ObjectKind::Evacuations, ObjectKind::ShardMaps,
+                                              ObjectKind::Instances};
+    /// Kinds that callers depend on within seconds.
+    static constexpr std::array checkedKinds{ObjectKind::Settings, ObjectKind::Targets,
+                                             ObjectKind::Evacuations};
     /// Delay after a failed call to the store.
     static constexpr Duration storePause = std::chrono::milliseconds(250);
 
@@ -72,16 +82,25 @@
         StoreRevision revision; ///< Of the stored record.
     };
 
+    [[nodiscard]] static const Follower &followerOf(ObjectKind kind);
     asio::awaitable<void> follow(Follower follower);
     asio::awaitable<bool> listAll(const Follower &follower, StoreRevision &revision);
     void logUnreadable(ObjectKind kind, std::size_t count);
     void logChange(std::string_view part, std::string_view event, nlohmann::json fields);
     void dateChanges(TimePoint since);
-    asio::awaitable<void> checkKinds();
-    [[nodiscard]] bool checksKinds() const;
-    asio::awaitable<bool> checkKind(ObjectKind kind);
+    void applyList(const Follower &follower, StoredObjects list, TimePoint askedAt);
+    void applyChanges(const Follower &follower, const StoredObjects &changes, StoreRevision from);
+    [[nodiscard]] static bool isChecked(ObjectKind kind) noexcept;
+    asio::awaitable<void> renewProofs();
+    asio::awaitable<void> checkKind(ObjectKind kind);
+    asio::awaitable<void> listSilentKind(ObjectKind kind);
+    [[nodiscard]] std::vector<std::string> proofPeers();
+    [[nodiscard]] MarkQuestion markQuestion() const;
+    [[nodiscard]] MarkAnswer answerMark(const MarkQuestion &question) const;
+    void takeMark(const MarkAnswer &answer);
+    void updateProofs();
     void catchUp();
-    enum class AnswerForm { List, Changes };
+    enum class AnswerForm { List, Changes, ChangesOfPeer };
     void recordAnswer(ObjectKind kind, AnswerForm form, const StoredObjects &answer,
                       TimePoint asOf);
     asio::awaitable<void> batchChanges(const Follower &follower);
@@ -164,7 +183,9 @@
     std::set<ObjectKind> m_relist; ///< Kinds to list before they are watched again.
     std::map<std::string, std::string> m_instances; ///< Peer address by name.
     std::map<ObjectKind, StoreRevision> m_revisions; ///< Store revision last read, by kind.
-    TimePoint m_markTakenAt{}; ///< When the placer last proved something.
+    std::map<ObjectKind, NewsLog> m_known; ///< Targets and evacuations, whatever brought them.
+    ProofRenewal m_proofs;
+    TimePoint m_placerAskedAt{}; ///< For a proof.
     TimePoint m_changedSince{}; ///< Earliest time of the changes being applied.
     ChangeOrigin m_changeOrigin = ChangeOrigin::StoreList; ///< Of the changes being applied.
     StoredObject m_settings; ///< The desired state in force, as stored.
@@ -177,10 +198,11 @@
 template <>
 struct yuccaspan::EnumNames<yuccaspan::gateway::ChangeOrigin>
 {
-    static constexpr std::array<EnumName<gateway::ChangeOrigin>, 4> table{{
+    static constexpr std::array<EnumName<gateway::ChangeOrigin>, 5> table{{
         {gateway::ChangeOrigin::StoreList, "store-list"},
         {gateway::ChangeOrigin::StoreWatch, "store-watch"},
         {gateway::ChangeOrigin::PeerNews, "peer-news"},
+        {gateway::ChangeOrigin::ProofAnswer, "proof-answer"},
         {gateway::ChangeOrigin::PeerState, "peer-state"},
     }};
 };
--- a/src/gateway/control_changes.cpp
+++ b/src/gateway/control_changes.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/control.hpp"
 
+#include <limits>
 #include <utility>
 
 namespace yuccaspan::gateway {
@@ -19,6 +20,47 @@
 
 } // namespace
 
+/// Puts a whole list in force. What is known to have changed since counts.
+void Control::applyList(const Follower &follower, StoredObjects list, TimePoint askedAt)
+{
+    const ObjectKind kind = follower.kind;
+    const StoreRevision listed = list.revision;
+    StoreRevision lastObject;
+    for (const StoredObject &object : list.objects)
+        lastObject = std::max(lastObject, object.revision);
+    dateChanges(m_gateway.evidence.provenAt(kind));
+    m_revisions[kind] = std::max(m_revisions[kind], listed);
+    if (isChecked(kind)) {
+        NewsLog &known = m_known[kind];
+        known.listed(list, askedAt);
+        m_revisions[kind] = std::max(m_revisions[kind], known.newest());
+        list.objects = known.all(std::numeric_limits<std::size_t>::max()).objects;
+    }
+    (this->*follower.onListed)(list.objects);
+    recordAnswer(kind, AnswerForm::List, list, askedAt);
+    m_gateway.evidence.observed(listed, askedAt);
+}
+
+/// Puts those of the changes after a revision in force that are not.
+void Control::applyChanges(const Follower &follower, const StoredObjects &changes,
+                           StoreRevision from)
+{
+    const auto apply = [this, &follower](const std::vector<StoredObject> &objects) {
+        for (const StoredObject &object : objects) {
+            dateChanges(m_gateway.evidence.changedSince(follower.kind, object.revision));
+            (this->*follower.onChanged)(object);
+        }
+    };
+    const auto known = m_known.find(follower.kind);
+    if (known == m_known.end() || from > known->second.newest()) {
+        apply(changes.objects);
+        return;
+    }
+    const StoreRevision before = known->second.newest();
+    static_cast<void>(known->second.changed(changes, from, m_gateway.now()));
+    apply(known->second.changesAfter(before, std::numeric_limits<std::size_t>::max()).objects);
+}
+
 void Control::onTargetsListed(const Objects &objects)
 {
     std::vector<TargetEntry> entries;
@@ -241,6 +283,7 @@
     for (const auto &[name, address] : m_instances)
         names.push_back(name);
     m_gateway.setInstances(names);
+    m_proofs.setInstances(names);
     m_peers.setPeers(m_instances);
     m_gateway.log.write("membership", "instances", {{"count", m_instances.size()}});
 }
--- a/src/gateway/control_era.cpp
+++ b/src/gateway/control_era.cpp
@@ -18,10 +18,6 @@
 /// Maximum delay of an instance's lists, so that those of all instances don't come at once.
 constexpr Duration maxListDelay = std::chrono::milliseconds(300);
 
-constexpr std::array followedKinds{ObjectKind::Settings, ObjectKind::Targets,
-                                   ObjectKind::Evacuations, ObjectKind::ShardMaps,
-                                   ObjectKind::Instances};
-
 } // namespace
 
 /// Part of a maximum delay that falls to this instance.
--- a/src/gateway/evidence/store_evidence.cpp
+++ b/src/gateway/evidence/store_evidence.cpp
@@ -75,6 +75,12 @@
     known.overdueFrom = now + arrivalTime;
 }
 
+bool StoreEvidence::behind(ObjectKind kind) const
+{
+    const auto found = m_kinds.find(kind);
+    return found != m_kinds.end() && found->second.told > found->second.upTo;
+}
+
 std::vector<ObjectKind> StoreEvidence::overdue(TimePoint now)
 {
     std::vector<ObjectKind> kinds;
@@ -103,9 +109,11 @@
         observed(revision, askedAt - age);
     for (const auto &[kind, marked] : mark.kinds) {
         const Kind &known = m_kinds[kind];
-        if (!marked.lastChange.known())
+        // A kind without any object has no change, but it was listed.
+        const StoreRevision last = std::max(marked.lastChange, marked.lastList);
+        if (!last.known())
             continue;
-        if (std::max(marked.lastChange, marked.lastList) <= known.upTo)
+        if (last <= known.upTo)
             proven(kind, askedAt - marked.age);
         told(kind, marked.lastChange, now);
     }
--- a/src/gateway/evidence/store_evidence.hpp
+++ b/src/gateway/evidence/store_evidence.hpp
@@ -54,6 +54,8 @@
 
     /// \brief A change exists, in force here or not.
     void told(ObjectKind kind, StoreRevision change, TimePoint now);
+    /// \brief Whether a change that was told is not in force.
+    [[nodiscard]] bool behind(ObjectKind kind) const;
     /// \brief Kinds of which a change that was told has not come into force in its time.
     [[nodiscard]] std::vector<ObjectKind> overdue(TimePoint now);
 
--- a/src/gateway/evidence/store_mark.cpp
+++ b/src/gateway/evidence/store_mark.cpp
@@ -1,6 +1,7 @@
 #include "gateway/evidence/store_mark.hpp"
 
 #include "gateway/datagram_key.hpp"
+#include "gateway/news/object_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -42,20 +43,31 @@
 
 } // namespace
 
-std::vector<std::uint8_t> encodeMarkQuestion(TimePoint askedAt)
+std::vector<std::uint8_t> encodeMarkQuestion(const MarkQuestion &question)
 {
-    return json::to_cbor(json{{std::string(1, questionKey), timeJson(askedAt)}});
+    json root{{std::string(1, questionKey), timeJson(question.askedAt)}};
+    for (const auto &[kind, revision] : question.lacks)
+        root["lacks"][toString(kind)] = revisionJson(revision);
+    return json::to_cbor(root);
 }
 
-std::optional<TimePoint> decodeMarkQuestion(const std::vector<std::uint8_t> &bytes) noexcept
+std::optional<MarkQuestion> decodeMarkQuestion(const std::vector<std::uint8_t> &bytes)
 {
     if (!startsWithKey(bytes, questionKey))
         return std::nullopt;
-    const json root = json::from_cbor(bytes, true, false);
-    const auto time = root.is_object() ? root.find(std::string(1, questionKey)) : root.end();
-    if (time == root.end() || !time->is_number_integer())
+    try {
+        const json root = json::from_cbor(bytes);
+        MarkQuestion question;
+        question.askedAt = timeOf(root.at(std::string(1, questionKey)));
+        const json lacks = root.value("lacks", json::object());
+        for (const auto &item : lacks.items()) {
+            if (const auto kind = fromString<ObjectKind>(item.key()))
+                question.lacks[*kind] = revisionOf(item.value());
+        }
+        return question;
+    } catch (const json::exception &) {
         return std::nullopt;
-    return timeOf(*time);
+    }
 }
 
 std::vector<std::uint8_t> encodeMarkAnswer(const MarkAnswer &answer)
@@ -67,9 +79,17 @@
     json revisions = json::array();
     for (const auto &[revision, age] : answer.mark.revisions)
         revisions.push_back({revisionJson(revision), ageJson(age)});
-    return json::to_cbor(json{{std::string(1, answerKey), timeJson(answer.askedAt)},
-                              {"kinds", std::move(kinds)},
-                              {"revisions", std::move(revisions)}});
+    json root{{std::string(1, answerKey), timeJson(answer.askedAt)},
+              {"kinds", std::move(kinds)},
+              {"revisions", std::move(revisions)}};
+    for (const auto &[kind, changes] : answer.changes) {
+        json objects = json::array();
+        for (const StoredObject &object : changes.objects)
+            objects.push_back(storedObjectJson(object));
+        root["changes"][toString(kind)] = {{"upTo", revisionJson(changes.revision)},
+                                           {"objects", std::move(objects)}};
+    }
+    return json::to_cbor(root);
 }
 
 bool isMarkAnswer(const std::vector<std::uint8_t> &bytes) noexcept
@@ -92,6 +112,16 @@
         }
         for (const json &item : root.at("revisions"))
             answer.mark.revisions.emplace_back(revisionOf(item.at(0)), ageOf(item.at(1)));
+        const json changed = root.value("changes", json::object());
+        for (const auto &item : changed.items()) {
+            const auto kind = fromString<ObjectKind>(item.key());
+            if (!kind)
+                continue;
+            StoredObjects &changes = answer.changes[*kind];
+            changes.revision = revisionOf(item.value().at("upTo"));
+            for (const json &object : item.value().at("objects"))
+                changes.objects.push_back(storedObjectOf(object));
+        }
         return answer;
     } catch (const json::exception &failure) {
         return Error{ErrorCode::ParseFailed, failure.what(), {}};
--- a/src/gateway/evidence/store_mark.hpp
+++ b/src/gateway/evidence/store_mark.hpp
@@ -29,18 +29,28 @@
     std::vector<std::pair<StoreRevision, Duration>> revisions;
 };
 
+/// \brief A question for proofs.
+struct MarkQuestion
+{
+    TimePoint askedAt{}; ///< By the clock of the instance that asks; it gets the time back.
+    /// Kinds of which it lacks changes, and up to which revision it has all.
+    std::map<ObjectKind, StoreRevision> lacks;
+};
+
 /// \brief Encodes a question.
-/// \param askedAt By the clock of the instance that asks; it gets the time back.
-[[nodiscard]] std::vector<std::uint8_t> encodeMarkQuestion(TimePoint askedAt);
-/// \brief Decodes a question; nothing if the datagram isn't meant to be one.
-[[nodiscard]] std::optional<TimePoint>
-decodeMarkQuestion(const std::vector<std::uint8_t> &bytes) noexcept;
+[[nodiscard]] std::vector<std::uint8_t> encodeMarkQuestion(const MarkQuestion &question);
+/// \brief Decodes a question; nothing if the datagram isn't one.
+[[nodiscard]] std::optional<MarkQuestion>
+decodeMarkQuestion(const std::vector<std::uint8_t> &bytes);
 
 /// \brief An answer, and the time of the question.
 struct MarkAnswer
 {
     TimePoint askedAt{};
     StoreMark mark;
+    /// The lacking changes, complete up to their revisions; not the kinds of which they are
+    /// unknown or too many.
+    std::map<ObjectKind, StoredObjects> changes;
 };
 
 /// \brief Encodes an answer.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,6 +49,15 @@
       allowances({options.name, std::random_device{}()}, clock.now())
 { }
 
+TimePoint Gateway::provenSendLimit() const
+{
+    if (storeAway)
+        return TimePoint::max();
+    return std::min(evidence.provenAt(ObjectKind::Targets) + options.drainWithin,
+                    evidence.provenAt(ObjectKind::Evacuations) + options.evacuateWithin)
+        - sendStopMargin;
+}
+
 std::shared_ptr<LiveTarget> Gateway::liveTarget(const Target &target)
 {
     std::shared_ptr<LiveTarget> &known = live[target.entry.id];
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -30,6 +30,10 @@
 
 namespace yuccaspan::gateway {
 
+/// \brief Sending to a target that leaves or may have left ends this long before the bound, so that
+/// sent requests arrive in time.
+inline constexpr Duration sendStopMargin = std::chrono::milliseconds(200);
+
 /// \brief Startup options of an instance.
 struct GatewayOptions
 {
@@ -109,6 +113,8 @@
     const std::shared_ptr<MessageMemory> bodies; ///< Memory of the buffered bodies.
 
     StoreEvidence evidence; ///< What the answers of the store prove.
+    bool storeAway = false; ///< Neither the store nor another instance can prove anything.
+    bool proofAwaited = false; ///< Requests wait for a proof of the targets.
     TargetDirectory directory;
     std::shared_ptr<const DesiredState> desired;
     RouteIndex routes;
@@ -153,6 +159,11 @@
     {
         return desired && (desired->workspaces.empty() || keyFreshness.fresh(now()));
     }
+    /// \brief Until when requests may be sent by what is proven of targets and evacuations.
+    ///
+    /// A target may have left since the proof, and nothing more may reach it once its bound ends.
+    /// While the store is away for all, nothing can be proven and there is no limit.
+    [[nodiscard]] TimePoint provenSendLimit() const;
     /// \brief Whether a request may still be in progress at the end of the process.
     /// \param deadline Of the request, which has just been read.
     [[nodiscard]] bool mayOutlastStop(TimePoint deadline) const noexcept
--- a/src/gateway/news/news_message.cpp
+++ b/src/gateway/news/news_message.cpp
@@ -1,5 +1,7 @@
 #include "gateway/news/news_message.hpp"
 
+#include "gateway/news/object_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -10,8 +12,6 @@
 
 using nlohmann::json;
 
-/// Levels of an object that are passed on; writing JSON recurses for each.
-constexpr int maxLevels = 32;
 /// Ages are capped, so that one of a clock that was never set can be written.
 constexpr Duration maxAge = std::chrono::hours(1);
 
@@ -22,22 +22,6 @@
     {ObjectKind::Instances, "instances"},
 }};
 
-json upToLevel(const json &value, int levels)
-{
-    if (!value.is_structured())
-        return value;
-    if (levels == 0)
-        return nullptr;
-    json out = value.is_array() ? json::array() : json::object();
-    for (const auto &item : value.items()) {
-        if (value.is_array())
-            out.push_back(upToLevel(item.value(), levels - 1));
-        else
-            out[item.key()] = upToLevel(item.value(), levels - 1);
-    }
-    return out;
-}
-
 double milliseconds(Duration span)
 {
     return std::chrono::duration<double, std::milli>(std::min(span, maxAge)).count();
@@ -52,37 +36,13 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(count));
 }
 
-json objectJson(const StoredObject &object)
-{
-    json out{{"name", object.name}, {"revision", revisionJson(object.revision)}};
-    if (object.deleted)
-        out["deleted"] = true;
-    if (!object.text.empty())
-        out["text"] = object.text;
-    else if (object.body && !object.deleted)
-        out["body"] = upToLevel(*object.body, maxLevels);
-    return out;
-}
-
-StoredObject objectOf(const json &value)
-{
-    StoredObject object;
-    object.name = value.at("name").get<std::string>();
-    object.revision = revisionOf(value.at("revision"));
-    object.deleted = value.value("deleted", false);
-    object.text = value.value("text", std::string());
-    if (const auto body = value.find("body"); body != value.end())
-        object.body = std::make_shared<const json>(*body);
-    return object;
-}
-
 std::vector<StoredObject> objectsOf(const json &values)
 {
     if (values.size() > maxNewsObjects)
         throw json::other_error::create(0, "too many objects", &values);
     std::vector<StoredObject> objects;
     for (const json &value : values)
-        objects.push_back(objectOf(value));
+        objects.push_back(storedObjectOf(value));
     return objects;
 }
 
@@ -90,7 +50,7 @@
 {
     json out = json::array();
     for (const StoredObject &object : objects)
-        out.push_back(objectJson(object));
+        out.push_back(storedObjectJson(object));
     return out;
 }
 
@@ -156,7 +116,7 @@
               {"kinds", std::move(kinds)},
               {"maps", objectsJson(answer.maps)}};
     if (answer.lease) {
-        root["lease"] = objectJson(*answer.lease);
+        root["lease"] = storedObjectJson(*answer.lease);
         root["leaseAgeMs"] = milliseconds(answer.leaseAge);
     }
     return dump(root);
@@ -181,7 +141,7 @@
         }
         answer.maps = objectsOf(root.at("maps"));
         if (const auto lease = root.find("lease"); lease != root.end()) {
-            answer.lease = objectOf(*lease);
+            answer.lease = storedObjectOf(*lease);
             answer.leaseAge = spanOf(root.at("leaseAgeMs"));
         }
         return answer;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -23,8 +23,8 @@
 constexpr Duration queryTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerIdleTimeout = std::chrono::seconds(3);
 constexpr std::size_t maxDatagram = 60000;
-/// Interval of questions to the placer about what it can prove of the store.
-constexpr Duration markInterval = std::chrono::milliseconds(500);
+/// Interval at which an instance decides whom to ask for proofs.
+constexpr Duration markInterval = std::chrono::milliseconds(250);
 /// Age of a question after which its answer is dropped.
 constexpr Duration maxMarkDelay = std::chrono::seconds(2);
 /// Interval of looking for parts of allowances that are lacking.
@@ -139,13 +139,8 @@
         if (failure)
             continue;
         bytes.resize(count);
-        if (const auto askedAt = decodeMarkQuestion(bytes)) {
-            // Only the placer checks what it knows.
-            if (m_hooks.isPlacer()) {
-                beast::error_code ignored;
-                m_socket.send_to(asio::buffer(encodeMarkAnswer({*askedAt, m_hooks.mark()})), from,
-                                 0, ignored);
-            }
+        if (const auto question = decodeMarkQuestion(bytes)) {
+            answerMark(*question, from);
             continue;
         }
         if (isMarkAnswer(bytes)) {
@@ -167,17 +162,30 @@
     }
 }
 
+void PeerLink::answerMark(const MarkQuestion &question, const udp::endpoint &from)
+{
+    MarkAnswer answer = m_hooks.mark(question);
+    std::vector<std::uint8_t> bytes = encodeMarkAnswer(answer);
+    if (bytes.size() > maxDatagram) {
+        answer.changes.clear();
+        bytes = encodeMarkAnswer(answer);
+    }
+    beast::error_code ignored;
+    m_socket.send_to(asio::buffer(bytes), from, 0, ignored);
+}
+
 asio::awaitable<void> PeerLink::askForMarks()
 {
     asio::steady_timer timer(m_gateway.loop);
     while (true) {
         timer.expires_after(markInterval);
         co_await timer.async_wait(asTuple);
-        const std::string placer = m_hooks.placer();
-        if (m_hooks.isPlacer() || placer.empty() || placer == m_gateway.options.name)
+        const std::vector<std::string> peers = m_hooks.proofPeers();
+        if (peers.empty())
             continue;
-        const bool sent = sendTo(placer, encodeMarkQuestion(m_gateway.now()));
-        m_gateway.metrics.count("store-mark", sent ? "asked" : "dropped");
+        const std::vector<std::uint8_t> question = encodeMarkQuestion(m_hooks.markQuestion());
+        for (const std::string &peer : peers)
+            m_gateway.metrics.count("store-mark", sendTo(peer, question) ? "asked" : "dropped");
     }
 }
 
@@ -188,7 +196,7 @@
     const bool usable = answer && answer->askedAt <= now && now - answer->askedAt <= maxMarkDelay;
     m_gateway.metrics.count("store-mark", usable ? "taken" : "damaged");
     if (usable)
-        m_hooks.takeMark(answer->mark, answer->askedAt);
+        m_hooks.takeMark(*answer);
 }
 
 asio::awaitable<void> PeerLink::lendAllowances()
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -43,8 +43,12 @@
         std::function<void(const StoredObject &)> settings;
         std::function<void(const std::vector<TargetEntry> &, StoreRevision)> targets;
         std::function<void(const std::vector<std::string> &, StoreRevision)> evacuated;
-        std::function<StoreMark()> mark; ///< What this instance can prove of the store.
-        std::function<void(const StoreMark &, TimePoint askedAt)> takeMark;
+        /// Answers a question with what this instance can prove of the store.
+        std::function<MarkAnswer(const MarkQuestion &)> mark;
+        std::function<void(const MarkAnswer &)> takeMark;
+        /// Instances to ask for proofs now, and the question.
+        std::function<std::vector<std::string>()> proofPeers;
+        std::function<MarkQuestion()> markQuestion;
     };
 
     PeerLink(Gateway &gateway, Hooks hooks);
@@ -67,6 +71,7 @@
     void addLoad(const LoadMessage &message);
     void receiveDelta(const ShardDelta &delta);
     asio::awaitable<void> askForMarks();
+    void answerMark(const MarkQuestion &question, const asio::ip::udp::endpoint &from);
     void takeMark(const std::vector<std::uint8_t> &bytes);
     asio::awaitable<void> lendAllowances();
     void receiveAllowances(const std::vector<std::uint8_t> &bytes);
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -19,6 +19,7 @@
     NoOwner, ///< The key has no owner now.
     KeyMoving, ///< The move of the key to another owner takes too long.
     NoTarget, ///< The service has no usable target.
+    TargetsUnproven, ///< Targets may have left without this instance knowing it.
     OwnerLeaves, ///< The owner of the key is leaving and may get no new requests.
     TargetPaused, ///< The target asked for no requests for a time.
     TargetLost, ///< The target cannot be reached.
@@ -89,16 +90,27 @@
 struct yuccaspan::EnumNames<yuccaspan::gateway::EndReason>
 {
     using Reason = yuccaspan::gateway::EndReason;
-    static constexpr std::array<EnumName<Reason>, 20> table{{
-        {Reason::Answered, "answered"},        {Reason::NotReady, "not-ready"},
-        {Reason::NoRoute, "no-route"},         {Reason::NoOwner, "no-owner"},
-        {Reason::KeyMoving, "key-moving"},     {Reason::NoTarget, "no-target"},
-        {Reason::OwnerLeaves, "owner-leaves"}, {Reason::TargetPaused, "target-paused"},
-        {Reason::TargetLost, "target-lost"},   {Reason::KeysOutdated, "keys-outdated"},
-        {Reason::UnknownKey, "unknown-key"},   {Reason::OverAllowance, "over-allowance"},
-        {Reason::Overloaded, "overloaded"},    {Reason::TargetFull, "target-full"},
-        {Reason::Misdirected, "misdirected"},  {Reason::Broken, "broken"},
-        {Reason::TimedOut, "timed-out"},       {Reason::CallerGone, "caller-gone"},
-        {Reason::NoMemory, "no-memory"},       {Reason::Stopping, "stopping"},
+    static constexpr std::array<EnumName<Reason>, 21> table{{
+        {Reason::Answered, "answered"},
+        {Reason::NotReady, "not-ready"},
+        {Reason::NoRoute, "no-route"},
+        {Reason::NoOwner, "no-owner"},
+        {Reason::KeyMoving, "key-moving"},
+        {Reason::NoTarget, "no-target"},
+        {Reason::OwnerLeaves, "owner-leaves"},
+        {Reason::TargetPaused, "target-paused"},
+        {Reason::TargetLost, "target-lost"},
+        {Reason::KeysOutdated, "keys-outdated"},
+        {Reason::UnknownKey, "unknown-key"},
+        {Reason::OverAllowance, "over-allowance"},
+        {Reason::Overloaded, "overloaded"},
+        {Reason::TargetFull, "target-full"},
+        {Reason::Misdirected, "misdirected"},
+        {Reason::Broken, "broken"},
+        {Reason::TimedOut, "timed-out"},
+        {Reason::CallerGone, "caller-gone"},
+        {Reason::NoMemory, "no-memory"},
+        {Reason::Stopping, "stopping"},
+        {Reason::TargetsUnproven, "targets-unproven"},
     }};
 };
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -19,9 +19,8 @@
 constexpr Duration otherTurnRetryDelay = std::chrono::milliseconds(300);
 /// Longest wait between two checks, in case a wake-up is missed.
 constexpr Duration safetyRecheckInterval = std::chrono::milliseconds(250);
-/// Sending to a leaving target ends this long before the bound, so that sent requests arrive in
-/// time.
-constexpr Duration sendStopMargin = std::chrono::milliseconds(200);
+/// Interval of looking for a proof that a request waits for.
+constexpr Duration unprovenRecheckInterval = std::chrono::milliseconds(50);
 /// Penalty of a target in another availability zone, in requests per slot.
 constexpr double otherZonePenalty = 0.35;
 /// Least concurrency that is assumed of a target whose rate is limited.
@@ -235,7 +234,16 @@
     const Service *service = flow.state->findService(flow.service);
     if (service == nullptr)
         return reject(EndReason::NoTarget, noTargetRetryDelay);
-    return service->keyed ? chooseOwner(gateway, flow) : chooseAny(gateway, flow, tried);
+    const TimePoint sendBefore = gateway.provenSendLimit();
+    if (gateway.now() >= sendBefore) {
+        gateway.metrics.count("held", "unproven");
+        gateway.proofAwaited = true;
+        return {Kind::Wait, nullptr, EndReason::TargetsUnproven, {}, unprovenRecheckInterval};
+    }
+    TargetChoice choice =
+        service->keyed ? chooseOwner(gateway, flow) : chooseAny(gateway, flow, tried);
+    choice.sendBefore = std::min(choice.sendBefore, sendBefore);
+    return choice;
 }
 
 } // namespace yuccaspan::gateway
--- a/tests/gateway/fleet.cpp
+++ b/tests/gateway/fleet.cpp
@@ -50,6 +50,15 @@
         instance->gateway->apply(m_state);
         m_instances.push_back(std::move(instance));
     }
+    prove();
+}
+
+void Fleet::prove()
+{
+    for (const auto &instance : m_instances) {
+        instance->gateway->evidence.proven(ObjectKind::Targets, m_clock.now());
+        instance->gateway->evidence.proven(ObjectKind::Evacuations, m_clock.now());
+    }
 }
 
 void Fleet::addTarget(const std::string &id, Duration warmupLeft)
@@ -176,6 +185,8 @@
 void Fleet::step(Duration span)
 {
     m_clock.advance(span);
+    if (m_proving)
+        prove();
     finishDue();
     std::erase_if(m_pending, [this](Pending &pending) {
         const TimePoint due = std::min(pending.recheckAt, pending.flow->deadline);
--- a/tests/gateway/fleet.hpp
+++ b/tests/gateway/fleet.hpp
@@ -41,6 +41,8 @@
     [[nodiscard]] TimePoint now() const noexcept { return m_clock.now(); }
     /// \brief Lists a target at all instances.
     void addTarget(const std::string &id, Duration warmupLeft);
+    /// \brief Lets the proofs of all instances grow old, or renews them all the time.
+    void setProving(bool proving) noexcept { m_proving = proving; }
     /// \brief Lets a target refuse connections, or listen again.
     void setListening(const std::string &id, bool listens);
     /// \brief Lets a target reject all requests at once.
@@ -84,6 +86,7 @@
         TimePoint endsAt;
     };
 
+    void prove();
     [[nodiscard]] std::shared_ptr<Flow> newFlow(Duration patience) const;
     void step(Duration span);
     void finishDue();
@@ -103,6 +106,7 @@
     std::vector<Running> m_running;
     std::vector<Arrival> m_arrivals;
     std::size_t m_rejected = 0;
+    bool m_proving = true;
     std::size_t m_next = 0;
 };
 
--- a/tests/gateway/test_late_requests.cpp
+++ b/tests/gateway/test_late_requests.cpp
@@ -54,6 +54,7 @@
         entry.address = "127.0.0.1:" + std::to_string(m_target.local_endpoint().port());
         m_gateway.directory.put(entry, m_clock.now(), m_clock.now());
         m_gateway.targetsKnown = true;
+        m_gateway.storeAway = true;
         m_gateway.setInstances({"a"});
         m_target.async_accept([this](beast::error_code failure, tcp::socket socket) {
             if (failure)
--- a/tests/gateway/test_store_evidence.cpp
+++ b/tests/gateway/test_store_evidence.cpp
@@ -82,6 +82,17 @@
     EXPECT_EQ(current.provenAt(kind), start + seconds(5) - milliseconds(100));
 }
 
+TEST(StoreEvidence, aMarkProvesAKindWithoutObjects)
+{
+    StoreEvidence placer;
+    placer.listed(kind, revision(20), {});
+    placer.proven(kind, start);
+    StoreEvidence current;
+    current.listed(kind, revision(20), {});
+    current.take(placer.mark(start), start, start);
+    EXPECT_EQ(current.provenAt(kind), start);
+}
+
 TEST(StoreEvidence, aListMayHoldDeletionsThatItDoesntShow)
 {
     StoreEvidence placer;
@@ -172,7 +183,29 @@
     EXPECT_EQ(read->mark.kinds.at(kind).age, milliseconds(40));
     ASSERT_EQ(read->mark.revisions.size(), 1U);
     EXPECT_EQ(read->mark.revisions.front().first, revision(9, 3));
-    EXPECT_EQ(decodeMarkQuestion(encodeMarkQuestion(start)), start);
+    MarkQuestion question{start, {{kind, revision(6, 3)}}};
+    const auto asked = decodeMarkQuestion(encodeMarkQuestion(question));
+    ASSERT_TRUE(asked);
+    EXPECT_EQ(asked->askedAt, start);
+    EXPECT_EQ(asked->lacks, question.lacks);
+}
+
+TEST(StoreMark, bringsTheChangesThatLack)
+{
+    MarkAnswer answer;
+    answer.askedAt = start;
+    StoredObjects &changes = answer.changes[kind];
+    changes.revision = revision(9, 3);
+    changes.objects = {{"t1", revision(8, 3), false, nullptr, "draining"},
+                       {"t 2&", revision(9, 3), true, nullptr, {}}};
+    const Result<MarkAnswer> read = decodeMarkAnswer(encodeMarkAnswer(answer));
+    ASSERT_TRUE(read);
+    const StoredObjects &brought = read->changes.at(kind);
+    EXPECT_EQ(brought.revision, revision(9, 3));
+    ASSERT_EQ(brought.objects.size(), 2U);
+    EXPECT_EQ(brought.objects[0].text, "draining");
+    EXPECT_EQ(brought.objects[1].name, "t 2&");
+    EXPECT_TRUE(brought.objects[1].deleted);
 }
 
 TEST(StoreMark, damagedOnesAreRefused)
--- a/tests/gateway/test_unproven_targets.cpp
+++ b/tests/gateway/test_unproven_targets.cpp
@@ -1,5 +1,6 @@
 // Instances that lack any proof that they know all changes of targets.
 
+#include "gateway/fleet.hpp"
 #include "gateway/store_fleet.hpp"
 #include "gateway/target_choice.hpp"
 
@@ -52,6 +53,37 @@
     return longest;
 }
 
+TEST(UnprovenTargets, areNotSentToOnceTheProofIsAsOldAsTheBound)
+{
+    for (const bool keyed : {false, true}) {
+        Service service;
+        service.keyed = keyed;
+        Fleet fleet(1, service);
+        fleet.addTarget("t", {});
+        fleet.setOwner("t");
+        const TimePoint provenAt = fleet.now();
+        fleet.setProving(false);
+        constexpr double perSecond = 100;
+        fleet.run(perSecond, seconds(3), milliseconds(500));
+        ASSERT_FALSE(fleet.arrivals().empty());
+        const Duration bound = fleet.gateway(0).options.drainWithin;
+        EXPECT_GT(fleet.arrivals().back().at, provenAt + bound - milliseconds(300));
+        EXPECT_LE(fleet.arrivals().back().at, provenAt + bound - sendStopMargin);
+        EXPECT_GT(fleet.rejected(), 0U);
+    }
+}
+
+TEST(UnprovenTargets, areSentToWhileTheStoreIsAwayForAll)
+{
+    Fleet fleet(1, {});
+    fleet.addTarget("t", {});
+    fleet.setProving(false);
+    fleet.gateway(0).storeAway = true;
+    constexpr double perSecond = 100;
+    fleet.run(perSecond, seconds(6), milliseconds(500));
+    EXPECT_EQ(fleet.rejected(), 0U);
+}
+
 /// Each fault alone is noticed in time by the other means.
 TEST(UnprovenTargets, areNotSentToWhileThePlacerIsCutOffAndWatchesAreSilent)
 {
--- a/tests/platform/serving_instance.hpp
+++ b/tests/platform/serving_instance.hpp
@@ -177,6 +177,7 @@
         entry.address = m_target.address();
         m_gateway->directory.put(entry, m_clock.now(), m_clock.now());
         m_gateway->targetsKnown = true;
+        m_gateway->storeAway = true;
         m_gateway->setInstances({"a"});
     }
     ~ServingInstance() override { endProcess(); }
--- a/tests/platform/test_answers_of_targets.cpp
+++ b/tests/platform/test_answers_of_targets.cpp
@@ -47,6 +47,7 @@
         route.name = "r";
         route.maxAttempts = 2;
         state->routes.push_back(route);
+        gateway.storeAway = true;
         gateway.setInstances({"a"});
         gateway.apply(state);
         TargetEntry entry;
