--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -68,6 +68,16 @@
     co_return beast::error_code();
 }
 
+/// Whether the server ended the connection without a reset. The error of a reset may have been
+/// taken by the write of the request; reading then sees an ordinary end.
+bool endedInOrder(tcp::socket &socket) noexcept
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+        && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 /// What the status of a response says about it.
 enum class StatusKind {
     Final, ///< The response answers the request.
@@ -247,6 +257,7 @@
     }
     result.end = CallEnd::Broken;
     int interim = 0;
+    bool endsWithConnection = false;
     for (int unrelated = 0; unrelated <= maxUnrelatedResponses; ++unrelated) {
         http::response_parser<http::string_body> parser;
         parser.body_limit(options.bodyLimit);
@@ -272,6 +283,9 @@
             --unrelated;
             continue;
         }
+        endsWithConnection = parser.need_eof();
+        if (endsWithConnection && !endedInOrder(connection->stream.socket()))
+            break;
         result.response = parser.release();
         if (options.onResponse)
             options.onResponse(result.response);
@@ -283,7 +297,8 @@
     result.memory.setGiveUp({});
     if (options.onCancel)
         options.onCancel({});
-    if (result.end == CallEnd::Answered && sending->done && !sending->failed)
+    const bool sent = sending->done && !sending->failed;
+    if (result.end == CallEnd::Answered && sent && !endsWithConnection)
         releaseConnection(std::move(connection), result.response);
     else
         connection->close();
--- a/tests/gateway/test_http_call.cpp
+++ b/tests/gateway/test_http_call.cpp
@@ -57,14 +57,15 @@
     return out;
 }
 
-CallResult call(asio::io_context &loop, const std::string &address, CallOptions options)
+CallResult call(asio::io_context &loop, const std::string &address, CallOptions options,
+                HttpRequest sent = request())
 {
     CallResult result;
     const auto pool = ClientPool::create(loop, address, {.idleLimit = std::chrono::seconds(1)});
     asio::co_spawn(
         loop,
         [&]() -> asio::awaitable<void> {
-            result = co_await pool->call(request(), std::move(options));
+            result = co_await pool->call(std::move(sent), std::move(options));
         },
         asio::detached);
     loop.run();
@@ -147,6 +148,38 @@
     }
 }
 
+/// The write of the request takes the socket's error, and the read then sees an ordinary end.
+TEST(HttpCall, aResponseWithoutLengthThatIsResetDuringTheUploadIsNotAnAnswer)
+{
+    constexpr std::size_t uploadBytes = 6'000'000;
+    constexpr std::size_t partBytes = 20'000;
+    constexpr int rounds = 30;
+    for (const bool reset : {true, false}) {
+        int answered = 0;
+        for (int round = 0; round < rounds; ++round) {
+            asio::io_context loop;
+            Peer peer(loop, [reset](tcp::socket &socket) -> asio::awaitable<void> {
+                co_await readHead(socket);
+                co_await send(socket, "HTTP/1.1 200 OK\r\n\r\n" + std::string(partBytes, 'x'));
+                if (reset) {
+                    socket.set_option(tcp::socket::linger(true, 0));
+                    socket.close();
+                    co_return;
+                }
+                socket.shutdown(tcp::socket::shutdown_send);
+                std::string rest(uploadBytes, '\0');
+                co_await asio::async_read(socket, asio::buffer(rest), asTuple);
+            });
+            HttpRequest upload = request();
+            upload.body() = std::string(uploadBytes, 'u');
+            upload.prepare_payload();
+            const CallResult result = call(loop, peer.address(), {}, std::move(upload));
+            answered += result.end == CallEnd::Answered ? 1 : 0;
+        }
+        EXPECT_EQ(answered, reset ? 0 : rounds);
+    }
+}
+
 TEST(HttpCall, aTruncatedResponseIsNotAnAnswer)
 {
     asio::io_context loop;
