--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -241,8 +241,10 @@
     const TimePoint askedAt = m_gateway.now();
     Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
     recordStoreCall(listed.hasValue(), "list");
-    if (!listed)
+    if (!listed) {
+        m_proofs.storeFailed(m_gateway.now());
         co_return false;
+    }
     const std::optional<std::uint64_t> eraBefore = m_era;
     if (!takeEra(listed->revision.era))
         co_return false;
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -113,7 +113,7 @@
     m_gateway.metrics.count("store-check", changes->objects.empty() ? "current" : "changes");
     for (const StoredObject &object : changes->objects)
         m_gateway.evidence.told(kind, object.revision, m_gateway.now());
-    if (m_relist.contains(kind) || changes->revision < m_revisions[kind])
+    if (changes->revision < m_revisions[kind])
         co_return;
     m_changeOrigin = ChangeOrigin::ProofAnswer;
     m_revisions[kind] = changes->revision;
@@ -142,7 +142,7 @@
         co_return;
     }
     m_proofs.storeAnswered();
-    if (!takeEra(listed->revision.era) || m_relist.contains(kind))
+    if (!takeEra(listed->revision.era))
         co_return;
     m_changeOrigin = ChangeOrigin::ProofAnswer;
     applyList(followerOf(kind), std::move(*listed), askedAt);
@@ -196,7 +196,7 @@
         m_gateway.evidence.observed(revision, answer.askedAt - age);
     for (const auto &[kind, changes] : answer.changes) {
         const auto known = m_known.find(kind);
-        if (known == m_known.end() || !takeEra(changes.revision.era) || m_relist.contains(kind)
+        if (known == m_known.end() || !takeEra(changes.revision.era) || inEraGrace()
             || changes.revision <= m_revisions[kind])
             continue;
         m_gateway.metrics.count("store-mark", "changes");
--- a/tests/gateway/test_unproven_targets.cpp
+++ b/tests/gateway/test_unproven_targets.cpp
@@ -100,6 +100,23 @@
     }
 }
 
+TEST(UnprovenTargets, areNotSentToByAnInstanceThatTheStoreTurnsAway)
+{
+    for (const std::uint32_t newsFrom : {0U, 3U}) {
+        Fleet3 fleet(newsFrom);
+        fleet.start();
+        Instance &placer = placerOf(fleet);
+        const auto away = std::ranges::find_if(
+            fleet.all, [&](const auto &instance) { return instance.get() != &placer; });
+        (*away)->store.cutOff = true;
+        fleet.loop.run_for(seconds(3));
+        EXPECT_TRUE(sends(**away));
+        fleet.shared.set(ObjectKind::Targets, "t", "draining");
+        const Duration sent = sendsFor(fleet, placer, fleet.now(), seconds(4));
+        EXPECT_LE(sent, placer.gateway.options.drainWithin) << "news from " << newsFrom;
+    }
+}
+
 /// Those that the store answers must not stop serving for lack of a placer.
 TEST(UnprovenTargets, areProvenAgainWithoutAPlacer)
 {
