The store counts as away only once a proof has ended and nobody else has one

It had been turned away 16 s before; that first failure stayed the one by which the store's absence was judged, and the proofs that others had brought since were later than it. The failure counts from the last proof now (ProofRenewal.aStoreCountsAsAway..., which fails without). Away is also judged from the end of the proof and no longer from the failure, since deputies check long before the end and others may still prove; near the end four others are asked; the placer asks as well.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -163,7 +163,7 @@
     m_storeUnavailable = !answered;
     m_gateway.log.write("store", answered ? "regained" : "lost", {{"call", call}});
     if (!answered)
-        m_proofs.storeFailed(m_gateway.now());
+        m_proofs.storeFailed(m_gateway.evidence, m_gateway.now());
     if (answered)
         restartWatches();
 }
@@ -242,7 +242,7 @@
     Result<StoredObjects> listed = co_await m_gateway.store.list(follower.kind);
     recordStoreCall(listed.hasValue(), "list");
     if (!listed) {
-        m_proofs.storeFailed(m_gateway.now());
+        m_proofs.storeFailed(m_gateway.evidence, m_gateway.now());
         co_return false;
     }
     const std::optional<std::uint64_t> eraBefore = m_era;
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -104,7 +104,7 @@
         if (silent)
             co_await listSilentKind(kind);
         else
-            m_proofs.storeFailed(m_gateway.now());
+            m_proofs.storeFailed(m_gateway.evidence, m_gateway.now());
         co_return;
     }
     m_proofs.storeAnswered();
@@ -129,7 +129,7 @@
     m_gateway.log.write("store", "watch-silent", {{"kind", toString(kind)}});
     if (!m_gateway.store.fromPeers()) {
         // The other watches may be silent as well.
-        m_proofs.storeFailed(m_gateway.now());
+        m_proofs.storeFailed(m_gateway.evidence, m_gateway.now());
         for (const ObjectKind unheard : checkedKinds)
             relist(unheard);
         co_return;
@@ -138,7 +138,7 @@
     const TimePoint askedAt = m_gateway.now();
     Result<StoredObjects> listed = co_await m_gateway.store.list(kind);
     if (!listed) {
-        m_proofs.storeFailed(m_gateway.now());
+        m_proofs.storeFailed(m_gateway.evidence, m_gateway.now());
         co_return;
     }
     m_proofs.storeAnswered();
@@ -152,10 +152,10 @@
 /// others if that doesn't suffice.
 std::vector<std::string> Control::proofPeers()
 {
-    if (placing())
-        return {};
     const TimePoint now = m_gateway.now();
     std::vector<std::string> peers = m_proofs.peersToAsk(m_gateway.evidence, now);
+    if (placing())
+        return peers;
     const std::string &placer = m_lease.holder();
     const bool urgent = m_proofs.isDeputy() || !markQuestion().lacks.empty();
     if (urgent || now - m_placerAskedAt >= placerInterval) {
--- a/src/gateway/evidence/proof_renewal.cpp
+++ b/src/gateway/evidence/proof_renewal.cpp
@@ -21,6 +21,7 @@
 constexpr double deputyStep = 0.07;
 constexpr double peersAsked = 0.62;
 constexpr double othersCheck = 0.7;
+constexpr double morePeersAsked = 0.85;
 constexpr double othersSpread = 0.15;
 
 Duration part(Duration whole, double fraction)
@@ -28,6 +29,9 @@
     return std::chrono::duration_cast<Duration>(whole * fraction);
 }
 
+/// Instances other than deputies that are asked at a time when a proof nears its end.
+constexpr std::size_t maxOthersAsked = 4;
+
 } // namespace
 
 ProofRenewal::ProofRenewal(std::string self, std::map<ObjectKind, Duration> limits)
@@ -45,16 +49,22 @@
 
 std::vector<std::string> ProofRenewal::peersToAsk(const StoreEvidence &evidence, TimePoint now)
 {
-    const bool old = std::ranges::any_of(m_limits, [&](const auto &limit) {
-        return now - evidence.provenAt(limit.first) >= part(limit.second, peersAsked);
-    });
+    // Of the oldest proof, as part of the time for which it lasts.
+    double age = 0;
+    for (const auto &[kind, limit] : m_limits) {
+        const Duration since = now - evidence.provenAt(kind);
+        age = std::max(age,
+                       std::chrono::duration<double>(since) / std::chrono::duration<double>(limit));
+    }
     std::vector<std::string> peers;
-    if (!old || m_names.empty())
+    if (age < peersAsked || m_names.empty())
         return peers;
     const std::size_t first = std::min(deputies, m_names.size());
     peers.assign(m_names.begin(), m_names.begin() + static_cast<std::ptrdiff_t>(first));
-    if (m_names.size() > first)
-        peers.push_back(m_names[first + m_nextPeer++ % (m_names.size() - first)]);
+    const std::size_t others = m_names.size() - first;
+    const std::size_t more = age < morePeersAsked ? 1 : maxOthersAsked;
+    for (std::size_t count = 0; count < std::min(more, others); ++count)
+        peers.push_back(m_names[first + m_nextPeer++ % others]);
     std::erase(peers, m_self);
     return peers;
 }
@@ -98,9 +108,9 @@
     m_pause = firstPause;
 }
 
-void ProofRenewal::storeFailed(TimePoint now) noexcept
+void ProofRenewal::storeFailed(const StoreEvidence &evidence, TimePoint now)
 {
-    if (!m_failedAt)
+    if (!m_failedAt || evidence.provenAt(ObjectKind::Targets) >= *m_failedAt)
         m_failedAt = now;
     m_nextCheck = now + m_pause;
     m_pause = std::min(m_pause * 2, maxPause);
@@ -108,8 +118,9 @@
 
 bool ProofRenewal::storeAway(const StoreEvidence &evidence, TimePoint now) const
 {
-    return m_failedAt && evidence.provenAt(ObjectKind::Targets) < *m_failedAt
-        && now - *m_failedAt >= answerTime;
+    const TimePoint provenAt = evidence.provenAt(ObjectKind::Targets);
+    return m_failedAt && provenAt < *m_failedAt
+        && now - provenAt >= m_limits.at(ObjectKind::Targets) + answerTime;
 }
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/evidence/proof_renewal.hpp
+++ b/src/gateway/evidence/proof_renewal.hpp
@@ -26,7 +26,7 @@
     /// \brief Pause after a check that failed; doubles with each further one.
     static constexpr Duration firstPause = std::chrono::milliseconds(500);
     static constexpr Duration maxPause = std::chrono::milliseconds(2000); ///< Longest pause.
-    /// \brief Time after a failed check in which other instances can still answer with a proof.
+    /// \brief Time after the end of a proof in which other instances can still answer with one.
     static constexpr Duration answerTime = std::chrono::milliseconds(300);
 
     /// \param self Name of this instance.
@@ -38,8 +38,8 @@
     /// \brief Whether this instance is a deputy.
     [[nodiscard]] bool isDeputy() const noexcept { return m_rank < deputies; }
 
-    /// \brief Instances to ask besides the placer: the deputies and another one in turn. None while
-    /// the proofs are young.
+    /// \brief Instances to ask besides the placer: the deputies and others in turn. None while the
+    /// proofs are young.
     [[nodiscard]] std::vector<std::string> peersToAsk(const StoreEvidence &evidence, TimePoint now);
     /// \brief The kind to check at the store now, if one is due.
     [[nodiscard]] std::optional<ObjectKind> checkDue(const StoreEvidence &evidence, bool placing,
@@ -49,9 +49,9 @@
     /// \brief The store answered a check.
     void storeAnswered() noexcept;
     /// \brief The store did not answer, or refused.
-    void storeFailed(TimePoint now) noexcept;
-    /// \brief Whether neither the store nor, since it failed, another instance proves that all
-    /// targets are known.
+    void storeFailed(const StoreEvidence &evidence, TimePoint now);
+    /// \brief Whether the proof of targets has run out, the store failed since, and no other
+    /// instance has answered with a proof either.
     [[nodiscard]] bool storeAway(const StoreEvidence &evidence, TimePoint now) const;
 
 private:
@@ -65,7 +65,7 @@
     TimePoint m_lastCheck{};
     TimePoint m_nextCheck{}; ///< After failures.
     Duration m_pause = firstPause;
-    std::optional<TimePoint> m_failedAt; ///< First failure since the last answer.
+    std::optional<TimePoint> m_failedAt; ///< First failure since the last answer or proof.
 };
 
 } // namespace yuccaspan::gateway
--- a/tests/gateway/test_proof_renewal.cpp
+++ b/tests/gateway/test_proof_renewal.cpp
@@ -78,7 +78,7 @@
                 member.renewal.storeAnswered();
                 member.evidence.proven(ObjectKind::Targets, now);
             } else {
-                member.renewal.storeFailed(now);
+                member.renewal.storeFailed(member.evidence, now);
             }
         }
         oldest = std::max(oldest, now - member.evidence.provenAt(ObjectKind::Targets));
@@ -162,6 +162,21 @@
         EXPECT_FALSE(member.renewal.storeAway(member.evidence, group.now));
 }
 
+/// An instance that was turned away once and then had proofs from others was cut off from all.
+TEST(ProofRenewal, aStoreCountsAsAwayAgainAfterProofsOfOthers)
+{
+    Group group(4);
+    Group::Member &member = group.members.back();
+    member.reachesStore = false;
+    member.renewal.storeFailed(member.evidence, group.now);
+    group.run(seconds(5));
+    EXPECT_FALSE(member.renewal.storeAway(member.evidence, group.now));
+    for (std::size_t index = 0; index + 1 < group.members.size(); ++index)
+        group.members[index].running = false;
+    group.run(limit + ProofRenewal::answerTime);
+    EXPECT_TRUE(member.renewal.storeAway(member.evidence, group.now));
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
