A deletion that carries an old revision isn't hidden from others

An answer of the store may give a deletion the last revision of the deleted object. The last change by which an instance proves a kind to others was then lower than the deletion, and one that lacked the deletion took the proof. The log of what is known numbers such deletions; its last change counts now. Found by reading; no test of its own, and the stores that we ran against number deletions anew.

--- a/src/gateway/control_changes.cpp
+++ b/src/gateway/control_changes.cpp
@@ -25,9 +25,6 @@
 {
     const ObjectKind kind = follower.kind;
     const StoreRevision listed = list.revision;
-    StoreRevision lastObject;
-    for (const StoredObject &object : list.objects)
-        lastObject = std::max(lastObject, object.revision);
     dateChanges(m_gateway.evidence.provenAt(kind));
     m_revisions[kind] = std::max(m_revisions[kind], listed);
     if (isChecked(kind)) {
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -38,10 +38,14 @@
     StoreRevision lastChange;
     for (const StoredObject &object : answer.objects)
         lastChange = std::max(lastChange, object.revision);
-    if (form == AnswerForm::List)
+    if (form == AnswerForm::List) {
         m_gateway.evidence.listed(kind, answer.revision, lastChange);
-    else
+    } else {
+        // A deletion may carry the last revision of the deleted object.
+        if (const auto known = m_known.find(kind); known != m_known.end())
+            lastChange = std::max(lastChange, known->second.lastChange());
         m_gateway.evidence.applied(kind, answer.revision, lastChange);
+    }
     // A store from a copy may lack changes until they have been written again.
     const bool fromStore = form != AnswerForm::ChangesOfPeer && !answer.knownAt;
     if (fromStore && !answer.mayHaveMore && !inEraGrace())
--- a/src/gateway/news/news_log.hpp
+++ b/src/gateway/news/news_log.hpp
@@ -40,6 +40,8 @@
     {
         return known() && revision >= m_base;
     }
+    /// \brief Revision of the last change, where that of a deletion may be a later one.
+    [[nodiscard]] StoreRevision lastChange() const noexcept { return m_lastChange; }
     /// \brief Whether an object has changed after a revision.
     [[nodiscard]] bool hasAfter(StoreRevision revision) const noexcept
     {
