--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -40,6 +40,18 @@
 /// The bound for sending to a leaving target starts when the store acknowledges the change; an
 /// instance reads the change later (DRAIN on hunt day scale-2 217040354903 of the grown
 /// deployment).
+/// An instance whose own call failed gets the removal late; the store was there for others.
+TEST(TargetDirectory, removalAfterAFailedCallIsntDatedFromItsArrival)
+{
+    TargetDirectory directory;
+    directory.put(entry("t", 1), start, start);
+    directory.storeUnavailable(start);
+    directory.remove("t", start + seconds(1), start + milliseconds(500));
+    const auto since = directory.unwantedSince(*directory.find("t"));
+    ASSERT_TRUE(since);
+    EXPECT_LE(*since, start + milliseconds(500));
+}
+
 TEST(TargetDirectory, leavingStartsAtTheEarliestPossibleAcknowledgement)
 {
     TargetDirectory directory;
--- a/tests/gateway/test_unproven_targets.cpp
+++ b/tests/gateway/test_unproven_targets.cpp
@@ -84,6 +84,24 @@
     EXPECT_EQ(fleet.rejected(), 0U);
 }
 
+/// A removed entry counts as missing, and may return, while calls to the store fail now and then.
+TEST(UnprovenTargets, removedOnesWithoutKeysGetNothingAfterTheBound)
+{
+    Fleet fleet(1, {});
+    fleet.addTarget("t", {});
+    Gateway &gateway = fleet.gateway(0);
+    const TimePoint removedAt = fleet.now();
+    constexpr double perSecond = 100;
+    for (int second = 0; second < 4; ++second) {
+        gateway.directory.storeUnavailable(fleet.now());
+        gateway.directory.remove("t", fleet.now(), fleet.now());
+        gateway.directory.tick(fleet.now());
+        fleet.run(perSecond, seconds(1), milliseconds(500));
+    }
+    ASSERT_FALSE(fleet.arrivals().empty());
+    EXPECT_LE(fleet.arrivals().back().at, removedAt + gateway.options.drainWithin);
+}
+
 /// Each fault alone is noticed in time by the other means.
 TEST(UnprovenTargets, areNotSentToWhileThePlacerIsCutOffAndWatchesAreSilent)
 {
