--- a/tests/platform/serving_instance.hpp
+++ b/tests/platform/serving_instance.hpp
@@ -142,6 +142,23 @@
     bool m_reset = false;
 };
 
+/// \brief A log that keeps its lines.
+class RecordingLog final : public DecisionLog
+{
+public:
+    explicit RecordingLog(std::vector<std::string> &lines) : m_lines(lines) { }
+    void write(std::string_view /*part*/, std::string text) noexcept override
+    {
+        m_lines.push_back(std::move(text));
+    }
+    [[nodiscard]] bool wantsRouting() const noexcept override { return true; }
+    [[nodiscard]] std::uint64_t dropped() const noexcept override { return 0; }
+    [[nodiscard]] std::uint64_t written() const noexcept override { return m_lines.size(); }
+
+private:
+    std::vector<std::string> &m_lines;
+};
+
 /// \brief An instance whose process can end: its connections are then closed.
 class ServingInstance : public ::testing::Test
 {
@@ -150,7 +167,7 @@
     explicit ServingInstance(const std::function<void(GatewayOptions &)> &change)
         : m_target(m_world),
           m_loop(std::make_unique<asio::io_context>(1)),
-          m_log(std::make_unique<SilentLog>(), m_clock, "a"),
+          m_log(std::make_unique<RecordingLog>(m_lines), m_clock, "a"),
           m_gateway(std::make_unique<Gateway>(*m_loop, m_clock, m_log, m_protocol, m_store, m_codec,
                                               options(change)))
     {
@@ -218,6 +235,7 @@
     TimedTarget m_target;
     std::unique_ptr<asio::io_context> m_loop; ///< Of the instance.
     const BoottimeClock m_clock;
+    std::vector<std::string> m_lines; ///< Of the log.
     EventLog m_log;
     HttpTargetProtocol m_protocol;
     NoStore m_store;
