Test of a deletion that carries an old revision

The store in memory can remove objects, with their last revision in the deletion; two instances whose watches are silent must not take the placer's proof for a state that lacks the deletion.

--- a/tests/gateway/shared_store.cpp
+++ b/tests/gateway/shared_store.cpp
@@ -22,6 +22,14 @@
     objects[kind][name] = {name, {era, ++revision}, false, nullptr, text};
 }
 
+void SharedStore::remove(ObjectKind kind, const std::string &name)
+{
+    StoredObject object = objects[kind][name];
+    object.deleted = true;
+    objects[kind].erase(name);
+    deletions[kind][++revision] = std::move(object);
+}
+
 void SharedStore::compact()
 {
     forgotten = revision;
@@ -63,6 +71,10 @@
             if (!watchesSilent && !cutOff && object.revision > revision)
                 out.objects.push_back(object);
         }
+        for (const auto &[at, object] : m_shared.deletions[kind]) {
+            if (!watchesSilent && !cutOff && at > revision.number)
+                out.objects.push_back(object);
+        }
         if (!watchesSilent && !cutOff
             && (!out.objects.empty() || std::chrono::steady_clock::now() >= end
                 || revision.number < m_shared.forgotten))
--- a/tests/gateway/shared_store.hpp
+++ b/tests/gateway/shared_store.hpp
@@ -16,10 +16,13 @@
 {
     /// \brief Creates or replaces an object.
     void set(ObjectKind kind, const std::string &name, const std::string &text);
+    /// \brief Removes an object. Its last revision stands in the deletion, which comes later.
+    void remove(ObjectKind kind, const std::string &name);
     /// \brief Ends the watches that wait, and forgets the changes so far.
     void compact();
 
     std::map<ObjectKind, std::map<std::string, StoredObject>> objects;
+    std::map<ObjectKind, std::map<std::uint64_t, StoredObject>> deletions; ///< By revision.
     std::uint64_t revision = 1;
     std::uint64_t forgotten = 0; ///< Watches from an earlier revision are refused.
     std::uint64_t cuts = 0; ///< Times at which all watches were cut.
--- a/tests/gateway/test_unproven_targets.cpp
+++ b/tests/gateway/test_unproven_targets.cpp
@@ -135,6 +135,23 @@
     }
 }
 
+/// The placer's proof was taken by instances that lacked such a deletion.
+TEST(UnprovenTargets, areNotSentToAfterADeletionThatCarriesAnOldRevision)
+{
+    Fleet3 fleet(0);
+    fleet.start();
+    Instance &placer = placerOf(fleet);
+    for (const auto &instance : fleet.all)
+        instance->store.watchesSilent = instance.get() != &placer;
+    fleet.loop.run_for(milliseconds(300));
+    // So that all know a later revision than that of the target's entry.
+    fleet.shared.set(ObjectKind::Targets, "u", "draining");
+    fleet.loop.run_for(milliseconds(1500));
+    fleet.shared.remove(ObjectKind::Targets, "t");
+    const Duration sent = sendsFor(fleet, placer, fleet.now(), seconds(4));
+    EXPECT_LE(sent, placer.gateway.options.drainWithin);
+}
+
 /// Those that the store answers must not stop serving for lack of a placer.
 TEST(UnprovenTargets, areProvenAgainWithoutAPlacer)
 {
