A test's comment stands before its own test again

The red test of removals after a failed call had come between the comment of leavingStartsAtTheEarliestPossibleAcknowledgement and the test. Comment only.

--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -37,9 +37,6 @@
     EXPECT_FALSE(directory.unwantedSince(*directory.find("t")));
 }
 
-/// The bound for sending to a leaving target starts when the store acknowledges the change; an
-/// instance reads the change later (DRAIN on hunt day scale-2 217040354903 of the grown
-/// deployment).
 /// An instance whose own call failed gets the removal late; the store was there for others.
 TEST(TargetDirectory, removalAfterAFailedCallIsntDatedFromItsArrival)
 {
@@ -52,6 +49,9 @@
     EXPECT_LE(*since, start + milliseconds(500));
 }
 
+/// The bound for sending to a leaving target starts when the store acknowledges the change; an
+/// instance reads the change later (DRAIN on hunt day scale-2 217040354903 of the grown
+/// deployment).
 TEST(TargetDirectory, leavingStartsAtTheEarliestPossibleAcknowledgement)
 {
     TargetDirectory directory;
