--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -34,7 +34,8 @@
 constexpr Duration instancesBatchDelay = std::chrono::milliseconds(1000);
 /// Exceeds every bound that counts from a change; nothing depends on how much older one is.
 constexpr Duration maxChangeAge = std::chrono::seconds(30);
-/// How long a proof of the settings lasts. The least bound of the users for new ones is 2 s.
+/// How long a proof of the settings lasts. Instances check for themselves from 0.7 of it on; users
+/// allow at least 2 s for new settings.
 constexpr Duration settingsProofLimit = std::chrono::milliseconds(2500);
 
 std::map<ObjectKind, Duration> proofLimits(const GatewayOptions &options)
