--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -390,10 +390,19 @@
             const std::string_view path = target.substr(0, target.find('?'));
             flow->route = m_gateway.routes.find(flow->request[http::field::host], path);
             exchange.repeatable = flow->route == nullptr || flow->route->idempotent;
+            recordSettings(*flow);
         }
         exchange.flow = flow;
     }
 
+    /// Records what is known of the settings at the moment at which a request is routed.
+    void recordSettings(Flow &flow)
+    {
+        flow.settingsAge = m_gateway.now() - m_gateway.evidence.provenAt(ObjectKind::Settings);
+        flow.settingsBehind = m_gateway.evidence.behind(ObjectKind::Settings);
+        m_gateway.metrics.settingsProofAge(flow.settingsAge);
+    }
+
     static asio::awaitable<void> handle(std::shared_ptr<Session> self,
                                         std::shared_ptr<Exchange> exchange)
     {
@@ -508,6 +517,10 @@
                               {"tookMs", Milliseconds(now - flow.arrived).count()},
                               {"status", end.response.result_int()},
                               {"reason", toString(end.reason)}};
+        if (flow.state)
+            fields["settingsMs"] = Milliseconds(flow.settingsAge).count();
+        if (flow.settingsBehind)
+            fields["settingsBehind"] = true;
         if (flow.sends > 0)
             fields["proofMs"] = Milliseconds(flow.proofAge).count();
         if (flow.unwantedFor)
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -55,6 +55,12 @@
             .Help("Time since all changes of targets were known, when a request is sent to one.")
             .Register(registry)
             .Add({}, lagBounds);
+    prometheus::Histogram &settingsProofAge =
+        prometheus::BuildHistogram()
+            .Name("yuccaspan_settings_proof_age_seconds")
+            .Help("Time since all changes of settings were known, when a request is routed.")
+            .Register(registry)
+            .Add({}, lagBounds);
     std::map<Labels, prometheus::Counter *> requestCounters;
     std::map<std::string, prometheus::Histogram *> histograms;
     std::map<Labels, prometheus::Counter *, std::less<>> eventCounters;
@@ -102,6 +108,11 @@
     m_state->proofAge.Observe(std::chrono::duration<double>(age).count());
 }
 
+void GatewayMetrics::settingsProofAge(Duration age)
+{
+    m_state->settingsProofAge.Observe(std::chrono::duration<double>(age).count());
+}
+
 void GatewayMetrics::loopLag(Duration lag)
 {
     m_state->lag.Observe(std::chrono::duration<double>(lag).count());
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -30,6 +30,8 @@
     void changeAge(std::string_view origin, Duration age);
     /// \brief Records the age of the proof of the targets when a request is sent to one.
     void proofAge(Duration age);
+    /// \brief Records the age of the proof of the settings when a request is routed.
+    void settingsProofAge(Duration age);
     /// \brief Records the lag of the event loop.
     void loopLag(Duration lag);
     /// \brief All metrics in the Prometheus text format.
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -60,6 +60,8 @@
     bool sentCold = false; ///< Whether the last target counted as cold when it was sent there.
     std::uint64_t fence = 0; ///< Fencing token of the key's owner.
     std::uint64_t mapWrite = 0; ///< Version of the shard map.
+    Duration settingsAge{}; ///< Time since all changes of settings were known, when it was routed.
+    bool settingsBehind = false; ///< Whether a newer version was known to exist, then.
     Duration proofAge{}; ///< Time since all changes of targets were known, at the last sending.
     std::optional<Duration> unwantedFor; ///< How long the last target was to get nothing, then.
 };
--- a/tests/platform/test_request_log.cpp
+++ b/tests/platform/test_request_log.cpp
@@ -50,6 +50,22 @@
     EXPECT_GE(line.at("leavingMs").get<double>(), 0);
 }
 
+TEST_F(RequestLog, tellsTheAgeOfTheProofOfTheSettingsByWhichItWasRouted)
+{
+    constexpr double least = 1500;
+    const StoreRevision inForce{0, 1};
+    const StoreRevision newer{0, 2};
+    m_gateway->evidence.applied(ObjectKind::Settings, inForce, inForce);
+    m_gateway->evidence.proven(ObjectKind::Settings, m_clock.now() - milliseconds(1500));
+    m_gateway->evidence.told(ObjectKind::Settings, newer, m_clock.now());
+    const nlohmann::json line = lineOfRequest();
+    ASSERT_TRUE(line.contains("settingsMs"));
+    EXPECT_GE(line.at("settingsMs").get<double>(), least);
+    EXPECT_TRUE(line.contains("settingsBehind"));
+    EXPECT_NE(m_gateway->metrics.text().find("yuccaspan_settings_proof_age_seconds_count 1"),
+              std::string::npos);
+}
+
 } // namespace
 
 } // namespace yuccaspan::platform
