--- a/tests/gateway/store_fleet.hpp
+++ b/tests/gateway/store_fleet.hpp
@@ -18,6 +18,8 @@
 namespace yuccaspan::gateway {
 
 /// \brief The text of a target is its state, that of the settings their version.
+///
+/// Each version adds a route: version 2 has the prefixes "/1/" and "/2/".
 class TextCodec final : public PlatformCodec
 {
 public:
@@ -39,6 +41,14 @@
         Service service;
         service.name = "s";
         state.services.emplace("s", service);
+        for (std::uint64_t number = 1; number <= state.version; ++number) {
+            Route route;
+            route.name = "r" + std::to_string(number);
+            route.host = "h";
+            route.prefix = "/" + std::to_string(number) + "/";
+            route.services.push_back({"s", 1});
+            state.routes.push_back(route);
+        }
         return state;
     }
 };
@@ -47,12 +57,13 @@
 struct Instance
 {
     Instance(asio::io_context &loop, SharedStore &shared, const std::string &name,
-             const std::string &address, std::uint32_t newsFromInstances)
+             const std::string &address, const std::string &callers,
+             std::uint32_t newsFromInstances)
         : store(loop, shared),
           news(loop, store,
                {.name = name, .zone = "z", .fromInstances = newsFromInstances, .timing = {}}),
           log(std::make_unique<SilentLog>(), clock, name),
-          gateway(loop, clock, log, protocol, news, codec, options(name, address)),
+          gateway(loop, clock, log, protocol, news, codec, options(name, address, callers)),
           control(gateway, "1")
     {
         auto created = GatewayServer::create(
@@ -64,12 +75,13 @@
         server->start();
     }
 
-    static GatewayOptions options(const std::string &name, const std::string &address)
+    static GatewayOptions options(const std::string &name, const std::string &address,
+                                  const std::string &callers)
     {
         GatewayOptions out;
         out.name = name;
         out.zone = "z";
-        out.callerAddress = "127.0.0.1:0";
+        out.callerAddress = callers;
         out.readinessAddress = "127.0.0.1:0";
         out.peerAddress = address;
         return out;
@@ -96,18 +108,17 @@
     std::unique_ptr<GatewayServer> server;
 };
 
-/// \brief Three instances of one zone: two readers of the store and a child.
-struct Fleet3
+/// \brief Instances of one zone: two readers of the store and their children.
+struct StoreFleet
 {
-    explicit Fleet3(std::uint32_t newsFromInstances)
+    StoreFleet(const std::vector<std::string> &names, std::uint32_t newsFromInstances)
     {
         shared.set(ObjectKind::Settings, "main", "1");
         shared.set(ObjectKind::Targets, "t", "ready");
-        const std::vector<std::string> names{"a", "b", "c"};
         for (const std::string &name : names) {
             const std::string address = freeAddress();
-            all.push_back(
-                std::make_unique<Instance>(loop, shared, name, address, newsFromInstances));
+            all.push_back(std::make_unique<Instance>(loop, shared, name, address, freeAddress(),
+                                                     newsFromInstances));
             const bool reader = newsPlace(names, name).reader;
             (reader ? readers : children).push_back(all.back().get());
         }
@@ -142,4 +153,12 @@
     std::vector<Instance *> children;
 };
 
+/// \brief Three instances of one zone.
+struct Fleet3 : StoreFleet
+{
+    explicit Fleet3(std::uint32_t newsFromInstances)
+        : StoreFleet({"a", "b", "c"}, newsFromInstances)
+    { }
+};
+
 } // namespace yuccaspan::gateway
--- /dev/null
+++ b/tests/platform/test_unproven_settings.cpp
@@ -0,0 +1,46 @@
+#include "serving_instance.hpp"
+
+namespace yuccaspan::platform {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// An instance that lacks a proof that it knows the newest settings; the store is not away.
+class UnprovenSettings : public ServingInstance
+{
+protected:
+    UnprovenSettings() : ServingInstance([](GatewayOptions & /*options*/) {}) { }
+
+    void SetUp() override
+    {
+        ServingInstance::SetUp();
+        m_gateway->storeAway = false;
+        m_gateway->evidence.proven(ObjectKind::Targets, m_clock.now());
+        m_gateway->evidence.proven(ObjectKind::Evacuations, m_clock.now());
+        // Older than the users allow for a desired state to be in force.
+        m_gateway->evidence.proven(ObjectKind::Settings, m_clock.now() - milliseconds(3000));
+    }
+};
+
+TEST_F(UnprovenSettings, aRequestIsntRunByARouteThatMayBeGone)
+{
+    const auto caller = connect();
+    caller->send(request("q", 1, 1000));
+    ASSERT_TRUE(runUntil([&] { return caller->count("HTTP/1.1 ") == 1; }));
+    EXPECT_FALSE(m_target.got("q"));
+    EXPECT_EQ(caller->count(rejected), 1U);
+}
+
+TEST_F(UnprovenSettings, aRouteThatMayHaveBeenAddedIsntRefusedAsUnknown)
+{
+    const auto caller = connect();
+    caller->send(
+        "GET /1 HTTP/1.1\r\nHost: other\r\nX-Request-Id: q\r\nX-Deadline-Ms: 1000\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return caller->count("HTTP/1.1 ") == 1; }));
+    EXPECT_EQ(caller->count(rejected), 1U);
+}
+
+} // namespace
+
+} // namespace yuccaspan::platform
