--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -35,6 +35,13 @@
 /// Retry delay that is sent while the memory for bodies is used up.
 constexpr Duration noMemoryRetryDelay = std::chrono::milliseconds(300);
 
+/// How long a request waits for a proof of the settings: for two questions to other instances.
+constexpr Duration maxSettingsWait = std::chrono::milliseconds(500);
+/// Interval of looking for it.
+constexpr Duration settingsRecheckInterval = std::chrono::milliseconds(20);
+/// Retry delay that is sent without it: the interval of questions to other instances.
+constexpr Duration settingsRetryDelay = std::chrono::milliseconds(250);
+
 /// Hop-by-hop header fields, which are not forwarded.
 constexpr std::array<http::field, 8> connectionFields{
     http::field::connection,        http::field::keep_alive,
@@ -140,7 +147,9 @@
         m_reading = true;
         bool mayRun = co_await read(parser, exchange->memory, limits);
         if (mayRun) {
-            prepare(*exchange, parser.release());
+            const TimePoint arrived = m_gateway.now();
+            co_await awaitSettings(arrived);
+            prepare(*exchange, parser.release(), arrived);
             if (!exchange->repeatable)
                 mayRun = co_await untilAnswered();
         }
@@ -376,12 +385,24 @@
         co_return false;
     }
 
+    /// Waits until a request may be routed, for a short time.
+    asio::awaitable<void> awaitSettings(TimePoint arrived)
+    {
+        const TimePoint latest = arrived + maxSettingsWait;
+        asio::steady_timer timer(m_gateway.loop);
+        while (m_gateway.informed() && !m_gateway.mayRoute(arrived) && m_gateway.now() < latest) {
+            m_gateway.metrics.count("held", "settings-unproven");
+            timer.expires_after(settingsRecheckInterval);
+            co_await timer.async_wait(asTuple);
+        }
+    }
+
     /// Reads from a request what decides how it is handled.
-    void prepare(Exchange &exchange, HttpRequest request)
+    void prepare(Exchange &exchange, HttpRequest request, TimePoint arrived)
     {
         const auto flow = std::make_shared<Flow>();
         exchange.keepAlive = request.keep_alive();
-        flow->arrived = m_gateway.now();
+        flow->arrived = arrived;
         flow->facts = m_gateway.protocol.readCaller(request);
         flow->request = std::move(request);
         if (m_gateway.informed()) {
@@ -441,6 +462,10 @@
             co_return refusal(http::status::service_unavailable, EndReason::NotReady,
                               startupRetryDelay);
         }
+        if (!m_gateway.mayRoute(flow->arrived)
+            || (flow->route == nullptr && !m_gateway.settingsProven(flow->arrived)))
+            co_return refusal(http::status::service_unavailable, EndReason::SettingsUnproven,
+                              settingsRetryDelay);
         if (flow->route == nullptr)
             co_return refusal(http::status::not_found, EndReason::NoRoute, {});
         Duration allowed = flow->facts.deadline.value_or(defaultDeadline);
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -34,15 +34,12 @@
 constexpr Duration instancesBatchDelay = std::chrono::milliseconds(1000);
 /// Exceeds every bound that counts from a change; nothing depends on how much older one is.
 constexpr Duration maxChangeAge = std::chrono::seconds(30);
-/// How long a proof of the settings lasts. Instances check for themselves from 0.7 of it on; users
-/// allow at least 2 s for new settings.
-constexpr Duration settingsProofLimit = std::chrono::milliseconds(2500);
 
 std::map<ObjectKind, Duration> proofLimits(const GatewayOptions &options)
 {
     return {{ObjectKind::Targets, options.drainWithin - sendStopMargin},
             {ObjectKind::Evacuations, options.evacuateWithin - sendStopMargin},
-            {ObjectKind::Settings, settingsProofLimit}};
+            {ObjectKind::Settings, options.applyWithin}};
 }
 
 } // namespace
@@ -81,6 +78,10 @@
     hooks.takeMark = [this](const MarkAnswer &answer) { takeMark(answer); };
     hooks.proofPeers = [this] { return proofPeers(); };
     hooks.markQuestion = [this] { return markQuestion(); };
+    hooks.lacksSettings = [this] { return lacksSettings(); };
+    hooks.settingsUpTo = [this] { return m_gateway.evidence.upTo(ObjectKind::Settings); };
+    hooks.settingsAfter = [this](StoreRevision upTo) { return settingsAfter(upTo); };
+    hooks.takeSettings = [this](const SettingsUpdate &update) { takeSettings(update); };
     return hooks;
 }
 
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -98,6 +98,10 @@
     [[nodiscard]] MarkQuestion markQuestion() const;
     [[nodiscard]] MarkAnswer answerMark(const MarkQuestion &question) const;
     void takeMark(const MarkAnswer &answer);
+    void takeChanges(ObjectKind kind, const StoredObjects &changes);
+    [[nodiscard]] bool lacksSettings() const;
+    [[nodiscard]] std::optional<SettingsUpdate> settingsAfter(StoreRevision upTo) const;
+    void takeSettings(const SettingsUpdate &update);
     void updateProofs();
     void catchUp();
     enum class AnswerForm { List, Changes, ChangesOfPeer };
--- a/src/gateway/control_changes.cpp
+++ b/src/gateway/control_changes.cpp
@@ -35,7 +35,8 @@
     }
     (this->*follower.onListed)(list.objects);
     recordAnswer(kind, AnswerForm::List, list, askedAt);
-    m_gateway.evidence.observed(listed, askedAt);
+    if (!list.knownAt)
+        m_gateway.evidence.observed(listed, askedAt);
 }
 
 /// Puts those of the changes after a revision in force that are not.
--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -3,6 +3,7 @@
 #include "gateway/control.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace yuccaspan::gateway {
@@ -17,6 +18,8 @@
 constexpr Duration placerInterval = std::chrono::milliseconds(500);
 /// Changes in one answer to a question for proofs, about 30 kB.
 constexpr std::size_t maxMarkChanges = 100;
+/// Usual time until settings that another instance has arrive here.
+constexpr Duration settingsArrivalTime = std::chrono::milliseconds(200);
 /// Maximum delay of an instance's list of what is overdue, so that not all come at once.
 constexpr Duration maxCatchUpDelay = std::chrono::milliseconds(300);
 constexpr Duration catchUpDelayPerInstance = std::chrono::microseconds(2500);
@@ -74,6 +77,8 @@
 {
     const TimePoint now = m_gateway.now();
     m_gateway.storeAway = inEraGrace() || m_proofs.storeAway(m_gateway.evidence, now);
+    m_gateway.settingsUnprovable =
+        m_proofs.unprovable(ObjectKind::Settings, m_gateway.evidence, now);
     if (!m_gateway.proofAwaited || now >= m_gateway.provenSendLimit())
         return;
     m_gateway.proofAwaited = false;
@@ -161,7 +166,8 @@
     if (placing())
         return peers;
     const std::string &placer = m_lease.holder();
-    const bool urgent = m_proofs.isDeputy() || !markQuestion().lacks.empty();
+    const bool urgent = m_proofs.isDeputy() || !markQuestion().lacks.empty()
+        || m_gateway.evidence.behind(ObjectKind::Settings);
     if (urgent || now - m_placerAskedAt >= placerInterval) {
         m_placerAskedAt = now;
         if (!placer.empty() && placer != m_gateway.options.name
@@ -175,7 +181,7 @@
 {
     MarkQuestion question{m_gateway.now(), {}};
     for (const auto &[kind, known] : m_known) {
-        // Settings don't fit into a datagram.
+        // Settings may not fit into a datagram; they are fetched.
         if (kind != ObjectKind::Settings && m_gateway.evidence.behind(kind))
             question.lacks[kind] = known.newest();
     }
@@ -198,21 +204,61 @@
     // First, as the changes are dated by them.
     for (const auto &[revision, age] : answer.mark.revisions)
         m_gateway.evidence.observed(revision, answer.askedAt - age);
-    for (const auto &[kind, changes] : answer.changes) {
-        const auto known = m_known.find(kind);
-        if (known == m_known.end() || !takeEra(changes.revision.era) || inEraGrace()
-            || changes.revision <= m_revisions[kind])
-            continue;
-        m_gateway.metrics.count("store-mark", "changes");
-        m_changeOrigin = ChangeOrigin::ProofAnswer;
-        m_revisions[kind] = changes.revision;
-        applyChanges(followerOf(kind), changes, known->second.newest());
-        recordAnswer(kind, AnswerForm::ChangesOfPeer, changes, {});
-    }
+    for (const auto &[kind, changes] : answer.changes)
+        takeChanges(kind, changes);
     m_gateway.evidence.take(answer.mark, answer.askedAt, m_gateway.now());
     updateProofs();
 }
 
+/// Puts changes from another instance in force.
+void Control::takeChanges(ObjectKind kind, const StoredObjects &changes)
+{
+    const auto known = m_known.find(kind);
+    if (known == m_known.end() || !takeEra(changes.revision.era) || inEraGrace()
+        || changes.revision <= m_revisions[kind])
+        return;
+    m_gateway.metrics.count("store-mark", "changes");
+    m_changeOrigin = ChangeOrigin::ProofAnswer;
+    m_revisions[kind] = changes.revision;
+    applyChanges(followerOf(kind), changes, known->second.newest());
+    recordAnswer(kind, AnswerForm::ChangesOfPeer, changes, {});
+}
+
+/// Whether newer settings have not arrived by the usual way in its time.
+bool Control::lacksSettings() const
+{
+    const auto since = m_gateway.evidence.behindSince(ObjectKind::Settings);
+    return since && m_gateway.now() - *since >= settingsArrivalTime;
+}
+
+std::optional<SettingsUpdate> Control::settingsAfter(StoreRevision upTo) const
+{
+    const auto known = m_known.find(ObjectKind::Settings);
+    if (known == m_known.end() || known->second.newest() <= upTo)
+        return std::nullopt;
+    constexpr std::size_t all = std::numeric_limits<std::size_t>::max();
+    if (known->second.covers(upTo))
+        return SettingsUpdate{known->second.changesAfter(upTo, all), false};
+    return SettingsUpdate{known->second.all(all), true};
+}
+
+/// Puts settings from another instance in force.
+void Control::takeSettings(const SettingsUpdate &update)
+{
+    constexpr ObjectKind kind = ObjectKind::Settings;
+    if (!update.whole) {
+        takeChanges(kind, update.objects);
+        return;
+    }
+    if (!takeEra(update.objects.revision.era) || inEraGrace()
+        || update.objects.revision <= m_revisions[kind])
+        return;
+    m_changeOrigin = ChangeOrigin::ProofAnswer;
+    StoredObjects list = update.objects;
+    list.knownAt = TimePoint{};
+    applyList(followerOf(kind), std::move(list), {});
+}
+
 /// Lists the kinds of which a known change has not arrived. An instance that hears from peers
 /// leaves that to them: many would list at the same time, and lose their source where the store is
 /// away.
--- a/src/gateway/evidence/proof_renewal.cpp
+++ b/src/gateway/evidence/proof_renewal.cpp
@@ -12,11 +12,12 @@
 
 /// Interval of the placer's checks of targets, on which the shortest bound depends.
 constexpr Duration targetsInterval = std::chrono::milliseconds(400);
-/// Interval of its checks of another kind.
-constexpr Duration otherInterval = std::chrono::milliseconds(800);
+/// Interval of its checks of evacuations.
+constexpr Duration evacuationsInterval = std::chrono::milliseconds(800);
 
 // Ages, as parts of the time for which a proof lasts. Usual ages of proofs from the placer are
 // below the first; a check and the answers to the others fit between the last and the end.
+constexpr double placerChecksSettings = 0.32;
 constexpr double firstDeputyChecks = 0.5;
 constexpr double deputyStep = 0.07;
 constexpr double peersAsked = 0.62;
@@ -72,9 +73,11 @@
 /// Age of a proof from which an instance checks the kind.
 Duration ProofRenewal::checkFrom(ObjectKind kind, bool placing) const
 {
-    if (placing)
-        return kind == ObjectKind::Targets ? targetsInterval : otherInterval;
     const Duration limit = m_limits.at(kind);
+    if (placing && kind == ObjectKind::Settings)
+        return part(limit, placerChecksSettings);
+    if (placing)
+        return kind == ObjectKind::Targets ? targetsInterval : evacuationsInterval;
     if (isDeputy())
         return part(limit, firstDeputyChecks + deputyStep * static_cast<double>(m_rank));
     constexpr std::size_t steps = 64;
@@ -116,11 +119,10 @@
     m_pause = std::min(m_pause * 2, maxPause);
 }
 
-bool ProofRenewal::storeAway(const StoreEvidence &evidence, TimePoint now) const
+bool ProofRenewal::unprovable(ObjectKind kind, const StoreEvidence &evidence, TimePoint now) const
 {
-    const TimePoint provenAt = evidence.provenAt(ObjectKind::Targets);
-    return m_failedAt && provenAt < *m_failedAt
-        && now - provenAt >= m_limits.at(ObjectKind::Targets) + answerTime;
+    const TimePoint provenAt = evidence.provenAt(kind);
+    return m_failedAt && provenAt < *m_failedAt && now - provenAt >= m_limits.at(kind) + answerTime;
 }
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/evidence/proof_renewal.hpp
+++ b/src/gateway/evidence/proof_renewal.hpp
@@ -50,9 +50,15 @@
     void storeAnswered() noexcept;
     /// \brief The store did not answer, or refused.
     void storeFailed(const StoreEvidence &evidence, TimePoint now);
-    /// \brief Whether the proof of targets has run out, the store failed since, and no other
+    /// \brief Whether the proof of a kind has run out, the store failed since, and no other
     /// instance has answered with a proof either.
-    [[nodiscard]] bool storeAway(const StoreEvidence &evidence, TimePoint now) const;
+    [[nodiscard]] bool unprovable(ObjectKind kind, const StoreEvidence &evidence,
+                                  TimePoint now) const;
+    /// \brief Whether that holds for the targets: nobody can prove anything.
+    [[nodiscard]] bool storeAway(const StoreEvidence &evidence, TimePoint now) const
+    {
+        return unprovable(ObjectKind::Targets, evidence, now);
+    }
 
 private:
     [[nodiscard]] Duration checkFrom(ObjectKind kind, bool placing) const;
--- a/src/gateway/evidence/store_evidence.cpp
+++ b/src/gateway/evidence/store_evidence.cpp
@@ -72,13 +72,27 @@
     if (change <= known.upTo || known.told > known.upTo)
         return;
     known.told = change;
+    known.toldAt = now;
     known.overdueFrom = now + arrivalTime;
 }
 
+std::optional<TimePoint> StoreEvidence::behindSince(ObjectKind kind) const
+{
+    const auto found = m_kinds.find(kind);
+    if (found == m_kinds.end() || found->second.told <= found->second.upTo)
+        return std::nullopt;
+    return found->second.toldAt;
+}
+
 bool StoreEvidence::behind(ObjectKind kind) const
+{
+    return behindSince(kind).has_value();
+}
+
+StoreRevision StoreEvidence::upTo(ObjectKind kind) const
 {
     const auto found = m_kinds.find(kind);
-    return found != m_kinds.end() && found->second.told > found->second.upTo;
+    return found == m_kinds.end() ? StoreRevision{} : found->second.upTo;
 }
 
 std::vector<ObjectKind> StoreEvidence::overdue(TimePoint now)
--- a/src/gateway/evidence/store_evidence.hpp
+++ b/src/gateway/evidence/store_evidence.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace yuccaspan::gateway {
@@ -56,6 +57,10 @@
     void told(ObjectKind kind, StoreRevision change, TimePoint now);
     /// \brief Whether a change that was told is not in force.
     [[nodiscard]] bool behind(ObjectKind kind) const;
+    /// \brief Since when a change that was told is not in force; nothing if all are.
+    [[nodiscard]] std::optional<TimePoint> behindSince(ObjectKind kind) const;
+    /// \brief Up to which revision of the store all changes of a kind are in force.
+    [[nodiscard]] StoreRevision upTo(ObjectKind kind) const;
     /// \brief Kinds of which a change that was told has not come into force in its time.
     [[nodiscard]] std::vector<ObjectKind> overdue(TimePoint now);
 
@@ -73,6 +78,7 @@
         StoreRevision lastList;
         TimePoint provenAt{};
         StoreRevision told; ///< First change that was told and may not be in force.
+        TimePoint toldAt{};
         TimePoint overdueFrom{};
     };
     struct Revision
--- a/src/gateway/evidence/store_mark.cpp
+++ b/src/gateway/evidence/store_mark.cpp
@@ -82,13 +82,8 @@
     json root{{std::string(1, answerKey), timeJson(answer.askedAt)},
               {"kinds", std::move(kinds)},
               {"revisions", std::move(revisions)}};
-    for (const auto &[kind, changes] : answer.changes) {
-        json objects = json::array();
-        for (const StoredObject &object : changes.objects)
-            objects.push_back(storedObjectJson(object));
-        root["changes"][toString(kind)] = {{"upTo", revisionJson(changes.revision)},
-                                           {"objects", std::move(objects)}};
-    }
+    for (const auto &[kind, changes] : answer.changes)
+        root["changes"][toString(kind)] = storedObjectsJson(changes);
     return json::to_cbor(root);
 }
 
@@ -114,13 +109,8 @@
             answer.mark.revisions.emplace_back(revisionOf(item.at(0)), ageOf(item.at(1)));
         const json changed = root.value("changes", json::object());
         for (const auto &item : changed.items()) {
-            const auto kind = fromString<ObjectKind>(item.key());
-            if (!kind)
-                continue;
-            StoredObjects &changes = answer.changes[*kind];
-            changes.revision = revisionOf(item.value().at("upTo"));
-            for (const json &object : item.value().at("objects"))
-                changes.objects.push_back(storedObjectOf(object));
+            if (const auto kind = fromString<ObjectKind>(item.key()))
+                answer.changes[*kind] = storedObjectsOf(item.value());
         }
         return answer;
     } catch (const json::exception &failure) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -50,6 +50,7 @@
         std::chrono::seconds(2); ///< Time until a leaving target gets no more requests.
     Duration evacuateWithin =
         std::chrono::seconds(5); ///< Time until an evacuated zone gets no more requests.
+    Duration applyWithin = std::chrono::seconds(2); ///< Time until new settings are in force.
     Duration stopWithin = std::chrono::seconds(6); ///< From SIGTERM to the end of the process.
     Duration allowanceWindow =
         std::chrono::seconds(5); ///< In which the platform counts a workspace's requests.
@@ -114,6 +115,7 @@
 
     StoreEvidence evidence; ///< What the answers of the store prove.
     bool storeAway = false; ///< Neither the store nor another instance can prove anything.
+    bool settingsUnprovable = false; ///< The same of the settings alone.
     bool proofAwaited = false; ///< Requests wait for a proof of the targets.
     TargetDirectory directory;
     std::shared_ptr<const DesiredState> desired;
@@ -164,6 +166,22 @@
     /// A target may have left since the proof, and nothing more may reach it once its bound ends.
     /// While the store is away for all, nothing can be proven and there is no limit.
     [[nodiscard]] TimePoint provenSendLimit() const;
+    /// \brief Whether no settings can be missing that must be in force for a request.
+    /// \param arrived Arrival of the request; it was sent before.
+    [[nodiscard]] bool settingsProven(TimePoint arrived) const
+    {
+        return evidence.provenAt(ObjectKind::Settings) + options.applyWithin >= arrived;
+    }
+    /// \brief Whether a request may be handled by the settings in force.
+    ///
+    /// While the store is away for all, nothing can be proven, and callers are served on unless
+    /// newer settings are known to exist.
+    /// \param arrived Arrival of the request.
+    [[nodiscard]] bool mayRoute(TimePoint arrived) const
+    {
+        return settingsProven(arrived)
+            || ((storeAway || settingsUnprovable) && !evidence.behind(ObjectKind::Settings));
+    }
     /// \brief Whether a request may still be in progress at the end of the process.
     /// \param deadline Of the request, which has just been read.
     [[nodiscard]] bool mayOutlastStop(TimePoint deadline) const noexcept
--- a/src/gateway/news/object_json.cpp
+++ b/src/gateway/news/object_json.cpp
@@ -50,4 +50,21 @@
     return object;
 }
 
+json storedObjectsJson(const StoredObjects &objects)
+{
+    json items = json::array();
+    for (const StoredObject &object : objects.objects)
+        items.push_back(storedObjectJson(object));
+    return {{"upTo", revisionJson(objects.revision)}, {"objects", std::move(items)}};
+}
+
+StoredObjects storedObjectsOf(const json &value)
+{
+    StoredObjects objects;
+    objects.revision = revisionOf(value.at("upTo"));
+    for (const json &item : value.at("objects"))
+        objects.objects.push_back(storedObjectOf(item));
+    return objects;
+}
+
 } // namespace yuccaspan::gateway
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peer_link.hpp"
 
 #include "gateway/entry_json.hpp"
+#include "gateway/news/object_json.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -144,7 +145,7 @@
             continue;
         }
         if (isMarkAnswer(bytes)) {
-            takeMark(bytes);
+            takeMark(bytes, from);
             continue;
         }
         if (isAllowanceMessage(bytes)) {
@@ -189,14 +190,59 @@
     }
 }
 
-void PeerLink::takeMark(const std::vector<std::uint8_t> &bytes)
+void PeerLink::takeMark(const std::vector<std::uint8_t> &bytes, const udp::endpoint &from)
 {
     const Result<MarkAnswer> answer = decodeMarkAnswer(bytes);
     const TimePoint now = m_gateway.now();
     const bool usable = answer && answer->askedAt <= now && now - answer->askedAt <= maxMarkDelay;
     m_gateway.metrics.count("store-mark", usable ? "taken" : "damaged");
-    if (usable)
-        m_hooks.takeMark(*answer);
+    if (!usable)
+        return;
+    m_hooks.takeMark(*answer);
+    if (m_fetchingSettings || !m_hooks.lacksSettings())
+        return;
+    m_fetchingSettings = true;
+    const std::string address = from.address().to_string() + ':' + std::to_string(from.port());
+    asio::co_spawn(m_gateway.loop, fetchSettings(address, *answer), asio::detached);
+}
+
+/// Asks an instance that has answered a question for proofs for the settings that lack here. They
+/// may be larger than a datagram.
+asio::awaitable<void> PeerLink::fetchSettings(std::string address, MarkAnswer mark)
+{
+    const json question{{"settingsAfter", revisionJson(m_hooks.settingsUpTo())}};
+    const std::optional<std::string> answer = co_await askForState(std::move(address), question);
+    m_fetchingSettings = false;
+    m_gateway.metrics.count("settings-fetch", answer ? "answered" : "failed");
+    if (!answer)
+        co_return;
+    try {
+        takeSettings(json::parse(*answer));
+    } catch (const json::exception &failure) {
+        m_gateway.log.write("peers", "bad-answer", {{"error", failure.what()}});
+        co_return;
+    }
+    // What it proved counts now that its settings are in force here.
+    mark.changes.clear();
+    m_hooks.takeMark(mark);
+}
+
+void PeerLink::answerSettings(const json &query, json &answer) const
+{
+    const auto after = query.find("settingsAfter");
+    if (after == query.end())
+        return;
+    if (const std::optional<SettingsUpdate> update = m_hooks.settingsAfter(revisionOf(*after))) {
+        answer["settingsUpdate"] = storedObjectsJson(update->objects);
+        answer["settingsUpdate"]["whole"] = update->whole;
+    }
+}
+
+void PeerLink::takeSettings(const json &answer)
+{
+    const auto update = answer.find("settingsUpdate");
+    if (update != answer.end())
+        m_hooks.takeSettings({storedObjectsOf(*update), update->at("whole").get<bool>()});
 }
 
 asio::awaitable<void> PeerLink::lendAllowances()
@@ -301,30 +347,43 @@
     const json query{{"settings", revisionJson(known.settings.revision)},
                      {"targets", revisionJson(known.targetsRevision)},
                      {"evacuations", revisionJson(known.evacuationsRevision)},
+                     {"settingsAfter", revisionJson(m_hooks.settingsUpTo())},
                      {"maps", std::move(maps)}};
+    const TimePoint askedAt = m_gateway.now();
+    const std::optional<std::string> answer = co_await askForState(std::move(address), query);
+    m_gateway.metrics.count("peer-state", answer ? "answered" : "failed");
+    if (answer)
+        applyAnswer(*answer, askedAt);
+}
+
+/// Asks an instance for state.
+/// \returns Its answer, if there is one.
+asio::awaitable<std::optional<std::string>> PeerLink::askForState(std::string address,
+                                                                  json question)
+{
     HttpRequest request(http::verb::post, "/state", httpVersion11);
     request.set(http::field::host, address);
-    request.body() = query.dump();
+    request.body() = question.dump();
     request.prepare_payload();
     CallOptions options;
     options.connectTimeout = queryTimeout;
     options.timeout = queryTimeout;
     const auto pool = ClientPool::create(m_gateway.loop, address, {.idleLimit = peerIdleTimeout});
-    const TimePoint askedAt = m_gateway.now();
-    const CallResult result = co_await pool->call(std::move(request), std::move(options));
-    const bool answered =
-        result.end == CallEnd::Answered && result.response.result() == http::status::ok;
-    m_gateway.metrics.count("peer-state", answered ? "answered" : "failed");
-    if (answered)
-        applyAnswer(result.response.body(), askedAt);
+    CallResult result = co_await pool->call(std::move(request), std::move(options));
+    if (result.end != CallEnd::Answered || result.response.result() != http::status::ok)
+        co_return std::nullopt;
+    co_return std::move(result.response.body());
 }
 
 std::string PeerLink::answerState(const std::string &request) const
 {
     try {
         const json query = json::parse(request);
-        const SharedState state = m_hooks.state();
         json answer = json::object();
+        answerSettings(query, answer);
+        if (!query.contains("settings"))
+            return answer.dump();
+        const SharedState state = m_hooks.state();
         if (state.settings.revision > revisionOf(query.at("settings")) && state.settings.body) {
             answer["settings"] = {{"name", state.settings.name},
                                   {"revision", revisionJson(state.settings.revision)},
@@ -367,6 +426,7 @@
 {
     try {
         const json root = json::parse(answer);
+        takeSettings(root);
         if (root.contains("settings")) {
             StoredObject object;
             object.name = root.at("settings").at("name").get<std::string>();
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,13 @@
     std::vector<std::string> evacuated;
 };
 
+/// \brief Settings that an instance lacks, from another.
+struct SettingsUpdate
+{
+    StoredObjects objects; ///< All of them, or the changes after what the instance has.
+    bool whole = false; ///< Whether they are all of them.
+};
+
 /// \brief Exchanges messages with the other instances.
 class PeerLink
 {
@@ -49,6 +57,13 @@
         /// Instances to ask for proofs now, and the question.
         std::function<std::vector<std::string>()> proofPeers;
         std::function<MarkQuestion()> markQuestion;
+        /// Whether newer settings are known to exist and don't arrive, so that they are asked for.
+        std::function<bool()> lacksSettings;
+        /// Up to which revision of the store the settings are in force.
+        std::function<StoreRevision()> settingsUpTo;
+        /// The settings that an instance lacks; nothing if this one has no newer ones.
+        std::function<std::optional<SettingsUpdate>(StoreRevision upTo)> settingsAfter;
+        std::function<void(const SettingsUpdate &)> takeSettings;
     };
 
     PeerLink(Gateway &gateway, Hooks hooks);
@@ -67,12 +82,17 @@
     asio::awaitable<void> receiveMessages();
     asio::awaitable<void> queryPeers();
     asio::awaitable<void> queryPeer(std::string address);
+    asio::awaitable<std::optional<std::string>> askForState(std::string address,
+                                                            nlohmann::json question);
+    asio::awaitable<void> fetchSettings(std::string address, MarkAnswer mark);
+    void answerSettings(const nlohmann::json &query, nlohmann::json &answer) const;
+    void takeSettings(const nlohmann::json &answer);
     void applyAnswer(const std::string &answer, TimePoint askedAt);
     void addLoad(const LoadMessage &message);
     void receiveDelta(const ShardDelta &delta);
     asio::awaitable<void> askForMarks();
     void answerMark(const MarkQuestion &question, const asio::ip::udp::endpoint &from);
-    void takeMark(const std::vector<std::uint8_t> &bytes);
+    void takeMark(const std::vector<std::uint8_t> &bytes, const asio::ip::udp::endpoint &from);
     asio::awaitable<void> lendAllowances();
     void receiveAllowances(const std::vector<std::uint8_t> &bytes);
     void send(const AllowanceExchange::Outgoing &messages);
@@ -83,6 +103,7 @@
     asio::ip::udp::socket m_socket;
     std::map<std::string, std::string> m_peers; ///< Address by name.
     std::size_t m_nextPeer = 0;
+    bool m_fetchingSettings = false;
 };
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -16,6 +16,7 @@
     Answered, ///< The response of a target is delivered.
     NotReady, ///< This instance has not yet read the desired state, the targets or the instances.
     NoRoute, ///< No route matches the request.
+    SettingsUnproven, ///< Newer settings may be in force without this instance knowing them.
     NoOwner, ///< The key has no owner now.
     KeyMoving, ///< The move of the key to another owner takes too long.
     NoTarget, ///< The service has no usable target.
@@ -92,7 +93,7 @@
 struct yuccaspan::EnumNames<yuccaspan::gateway::EndReason>
 {
     using Reason = yuccaspan::gateway::EndReason;
-    static constexpr std::array<EnumName<Reason>, 21> table{{
+    static constexpr std::array<EnumName<Reason>, 22> table{{
         {Reason::Answered, "answered"},
         {Reason::NotReady, "not-ready"},
         {Reason::NoRoute, "no-route"},
@@ -114,5 +115,6 @@
         {Reason::NoMemory, "no-memory"},
         {Reason::Stopping, "stopping"},
         {Reason::TargetsUnproven, "targets-unproven"},
+        {Reason::SettingsUnproven, "settings-unproven"},
     }};
 };
--- a/tests/gateway/shared_store.cpp
+++ b/tests/gateway/shared_store.cpp
@@ -46,7 +46,7 @@
 asio::awaitable<Result<StoredObjects>> StoreConnection::list(ObjectKind kind)
 {
     ++lists[kind];
-    if (cutOff) {
+    if (cutOff || unanswered.contains(kind)) {
         co_await awaitAnswer();
         co_return noAnswer();
     }
@@ -62,20 +62,23 @@
 {
     const auto end = std::chrono::steady_clock::now() + std::min(wait, longestWait);
     const std::uint64_t cuts = m_shared.cuts;
+    const auto silent = [this, kind] {
+        return watchesSilent || cutOff || unanswered.contains(kind);
+    };
     bool cancelled = false;
     if (onCancel)
         onCancel([&cancelled] { cancelled = true; });
     StoredObjects out;
     while (!cancelled && cuts == m_shared.cuts) {
         for (const auto &[name, object] : m_shared.objects[kind]) {
-            if (!watchesSilent && !cutOff && object.revision > revision)
+            if (!silent() && object.revision > revision)
                 out.objects.push_back(object);
         }
         for (const auto &[at, object] : m_shared.deletions[kind]) {
-            if (!watchesSilent && !cutOff && at > revision.number)
+            if (!silent() && at > revision.number)
                 out.objects.push_back(object);
         }
-        if (!watchesSilent && !cutOff
+        if (!silent()
             && (!out.objects.empty() || std::chrono::steady_clock::now() >= end
                 || revision.number < m_shared.forgotten))
             break;
--- a/tests/gateway/shared_store.hpp
+++ b/tests/gateway/shared_store.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace yuccaspan::gateway {
@@ -45,6 +46,7 @@
 
     bool watchesSilent = false; ///< Watches aren't answered; all other calls are.
     bool cutOff = false; ///< No call is answered.
+    std::set<ObjectKind> unanswered; ///< Kinds whose lists and watches aren't answered.
     std::map<ObjectKind, int> lists; ///< Calls by kind.
     Duration longestWait = std::chrono::milliseconds(500); ///< After which a watch is answered.
 
--- a/tests/gateway/test_unproven_settings.cpp
+++ b/tests/gateway/test_unproven_settings.cpp
@@ -99,6 +99,35 @@
                         << std::chrono::duration_cast<milliseconds>(longest).count() << " ms";
 }
 
+/// Its source of news says nothing, and the store doesn't answer it.
+TEST(UnprovenSettings, areFetchedByAnInstanceThatKnowsThatItLacksThem)
+{
+    constexpr std::uint32_t withoutNews = 0;
+    Fleet3 fleet(withoutNews);
+    fleet.start();
+    const auto away = std::ranges::find_if(
+        fleet.all, [](const auto &instance) { return !instance->control.placing(); });
+    (*away)->store.cutOff = true;
+    fleet.loop.run_for(seconds(1));
+    fleet.shared.set(ObjectKind::Settings, "main", "2");
+    fleet.loop.run_for(applyWithin);
+    EXPECT_EQ((*away)->version(), 2U);
+    EXPECT_TRUE((*away)->gateway.settingsProven(fleet.now()));
+}
+
+TEST(UnprovenSettings, areFetchedByAnInstanceThatCouldNeverListThem)
+{
+    constexpr std::uint32_t withoutNews = 0;
+    Fleet3 fleet(withoutNews);
+    Instance &late = *fleet.children.front();
+    late.store.unanswered.insert(ObjectKind::Settings);
+    fleet.start();
+    fleet.shared.set(ObjectKind::Settings, "main", "2");
+    fleet.loop.run_for(applyWithin);
+    EXPECT_EQ(late.version(), 2U);
+    EXPECT_TRUE(late.gateway.settingsProven(fleet.now()));
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
