--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -77,6 +77,8 @@
 {
     const TimePoint now = m_gateway.now();
     m_gateway.storeAway = inEraGrace() || m_proofs.storeAway(m_gateway.evidence, now);
+    if (m_gateway.storeAway)
+        m_gateway.directory.storeAway(now);
     m_gateway.settingsUnprovable =
         m_proofs.unprovable(ObjectKind::Settings, m_gateway.evidence, now);
     if (!m_gateway.proofAwaited || now >= m_gateway.provenSendLimit())
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -165,6 +165,7 @@
 {
     const TimePoint now = gateway.now();
     std::shared_ptr<LiveTarget> best;
+    TimePoint sendBefore = TimePoint::max();
     std::shared_ptr<LiveTarget> limited;
     SendPermit nextTurn{HoldReason::None, TimePoint::max()};
     TimePoint pausedUntil = TimePoint::max();
@@ -173,7 +174,8 @@
     std::shared_ptr<LiveTarget> any;
     double concurrency = 0;
     for (const auto &[id, target] : gateway.directory.targets()) {
-        if (target.entry.service != flow.service || !gateway.directory.usable(target))
+        if (target.entry.service != flow.service || !gateway.directory.usable(target)
+            || now >= sendDeadline(gateway, target))
             continue;
         const std::shared_ptr<LiveTarget> live = gateway.liveTarget(target);
         concurrency += live->gate.inFlight();
@@ -205,13 +207,14 @@
             score += lastResort;
         if (best == nullptr || score < bestScore) {
             best = live;
+            sendBefore = sendDeadline(gateway, target);
             bestScore = score;
         }
     }
     if (any == nullptr)
         return reject(EndReason::NoTarget, noTargetRetryDelay);
     if (best != nullptr)
-        return {Kind::Send, best, EndReason::Answered, {}, {}};
+        return {Kind::Send, best, EndReason::Answered, {}, {}, sendBefore};
     const HoldReason reason = allPaused ? HoldReason::Paused
         : limited != nullptr            ? nextTurn.reason
                                         : HoldReason::Full;
--- a/src/gateway/target_directory.cpp
+++ b/src/gateway/target_directory.cpp
@@ -91,7 +91,7 @@
     if (now < m_graceUntil) {
         m_missing.try_emplace(std::string(id), m_graceUntil);
         if (!found->second.missingSince)
-            found->second.missingSince = now;
+            found->second.missingSince = now < m_lapseUntil ? now : since;
         return;
     }
     found->second.listed = false;
@@ -151,9 +151,15 @@
     m_graceUntil = std::max(m_graceUntil, now + relistGrace);
 }
 
-void TargetDirectory::enterEra(TimePoint now) noexcept
+void TargetDirectory::storeAway(TimePoint now) noexcept
 {
     storeUnavailable(now);
+    m_lapseUntil = std::max(m_lapseUntil, now + relistGrace);
+}
+
+void TargetDirectory::enterEra(TimePoint now) noexcept
+{
+    storeAway(now);
     for (auto &[id, target] : m_targets)
         target.ofEarlierEra = true;
 }
--- a/src/gateway/target_directory.hpp
+++ b/src/gateway/target_directory.hpp
@@ -35,7 +35,7 @@
     TimePoint coldUntil{}; ///< End of its warm-up.
     std::optional<TimePoint> leavingSince; ///< Earliest time at which it may have left.
     std::optional<TimePoint> saidLeavingSince; ///< When it said in an answer that it leaves.
-    std::optional<TimePoint> missingSince; ///< When its entry went missing.
+    std::optional<TimePoint> missingSince; ///< Earliest time at which its entry was removed.
     /// Known from an earlier era of the store: an entry of that sequence or an earlier one comes
     /// from the copy and says nothing new.
     bool ofEarlierEra = false;
@@ -52,7 +52,8 @@
 /// A target that the store no longer lists is kept as leaving, so that its keys can be released.
 /// Entries that expired while the store was unavailable return shortly after it does; until then
 /// such a target counts as listed and keeps its keys. It may also have left, so the bound for
-/// sending to it is counted from when its entry went missing.
+/// sending to it is counted from when its entry may have been removed; while the store is away for
+/// all, from when it is found missing, since it has acknowledged no leaving before.
 class TargetDirectory
 {
 public:
@@ -78,6 +79,8 @@
     bool tick(TimePoint now);
     /// \brief Records that the store is unavailable; restarts the grace period of missing entries.
     void storeUnavailable(TimePoint now) noexcept;
+    /// \brief Records that the store is away for all instances; restarts the grace period as well.
+    void storeAway(TimePoint now) noexcept;
     /// \brief Records that the store came back from a copy: what is missing from it gets a grace
     /// period, and its entries of known targets count only if they are newer than the known ones.
     void enterEra(TimePoint now) noexcept;
@@ -110,6 +113,7 @@
     std::map<std::string, TimePoint, std::less<>> m_missing;
     std::map<std::string, TimePoint, std::less<>> m_evacuated;
     TimePoint m_graceUntil{};
+    TimePoint m_lapseUntil{}; ///< Until then, what is missing may have expired while it was away.
     std::uint64_t m_version = 1;
 };
 
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -27,14 +27,20 @@
 /// removed for good.
 TEST(TargetDirectory, sendingBoundIsNotPostponedWhileAMissingEntryMayReturn)
 {
-    TargetDirectory directory;
-    directory.put(entry("t", 5), start, start);
-    directory.storeUnavailable(start);
-    directory.remove("t", start + milliseconds(100), start);
-    EXPECT_TRUE(directory.usable(*directory.find("t")));
-    EXPECT_EQ(directory.unwantedSince(*directory.find("t")), start + milliseconds(100));
-    directory.put(entry("t", 5), start + milliseconds(900), start);
-    EXPECT_FALSE(directory.unwantedSince(*directory.find("t")));
+    for (const bool awayForAll : {false, true}) {
+        TargetDirectory directory;
+        directory.put(entry("t", 5), start, start);
+        if (awayForAll)
+            directory.storeAway(start);
+        else
+            directory.storeUnavailable(start);
+        directory.remove("t", start + milliseconds(100), start);
+        EXPECT_TRUE(directory.usable(*directory.find("t")));
+        const TimePoint expected = awayForAll ? start + milliseconds(100) : start;
+        EXPECT_EQ(directory.unwantedSince(*directory.find("t")), expected);
+        directory.put(entry("t", 5), start + milliseconds(900), start);
+        EXPECT_FALSE(directory.unwantedSince(*directory.find("t")));
+    }
 }
 
 /// An instance whose own call failed gets the removal late; the store was there for others.
