--- a/src/gateway/evidence/proof_renewal.cpp
+++ b/src/gateway/evidence/proof_renewal.cpp
@@ -122,7 +122,10 @@
 bool ProofRenewal::unprovable(ObjectKind kind, const StoreEvidence &evidence, TimePoint now) const
 {
     const TimePoint provenAt = evidence.provenAt(kind);
-    return m_failedAt && provenAt < *m_failedAt && now - provenAt >= m_limits.at(kind) + answerTime;
+    const bool targetsProven =
+        now - evidence.provenAt(ObjectKind::Targets) < m_limits.at(ObjectKind::Targets);
+    return m_failedAt && provenAt < *m_failedAt && !targetsProven
+        && now - provenAt >= m_limits.at(kind) + answerTime;
 }
 
 } // namespace yuccaspan::gateway
--- a/src/gateway/evidence/proof_renewal.hpp
+++ b/src/gateway/evidence/proof_renewal.hpp
@@ -51,7 +51,8 @@
     /// \brief The store did not answer, or refused.
     void storeFailed(const StoreEvidence &evidence, TimePoint now);
     /// \brief Whether the proof of a kind has run out, the store failed since, and no other
-    /// instance has answered with a proof either.
+    /// instance has answered with a proof either. While the targets are proven, somebody reaches
+    /// the store and could prove the others.
     [[nodiscard]] bool unprovable(ObjectKind kind, const StoreEvidence &evidence,
                                   TimePoint now) const;
     /// \brief Whether that holds for the targets: nobody can prove anything.
--- a/tests/gateway/test_proof_renewal.cpp
+++ b/tests/gateway/test_proof_renewal.cpp
@@ -177,6 +177,21 @@
     EXPECT_TRUE(member.renewal.storeAway(member.evidence, group.now));
 }
 
+TEST(ProofRenewal, settingsArentUnprovableWhileSomebodyProvesTheTargets)
+{
+    ProofRenewal renewal("a", {{ObjectKind::Targets, limit}, {ObjectKind::Settings, limit}});
+    StoreEvidence evidence;
+    evidence.proven(ObjectKind::Settings, start);
+    evidence.proven(ObjectKind::Targets, start);
+    renewal.storeFailed(evidence, start + step);
+    evidence.proven(ObjectKind::Targets, start + seconds(2));
+    TimePoint now = start + seconds(3);
+    EXPECT_FALSE(renewal.unprovable(ObjectKind::Settings, evidence, now));
+    now = start + seconds(2) + limit;
+    EXPECT_TRUE(renewal.unprovable(ObjectKind::Settings, evidence, now));
+    EXPECT_FALSE(renewal.storeAway(evidence, now));
+}
+
 } // namespace
 
 } // namespace yuccaspan::gateway
