--- a/src/gateway/control_evidence.cpp
+++ b/src/gateway/control_evidence.cpp
@@ -80,7 +80,7 @@
     if (m_gateway.storeAway)
         m_gateway.directory.storeAway(now);
     m_gateway.settingsUnprovable =
-        m_proofs.unprovable(ObjectKind::Settings, m_gateway.evidence, now);
+        inEraGrace() || m_proofs.unprovable(ObjectKind::Settings, m_gateway.evidence, now);
     if (!m_gateway.proofAwaited || now >= m_gateway.provenSendLimit())
         return;
     m_gateway.proofAwaited = false;
--- a/src/gateway/evidence/proof_renewal.cpp
+++ b/src/gateway/evidence/proof_renewal.cpp
@@ -124,7 +124,7 @@
     const TimePoint provenAt = evidence.provenAt(kind);
     const bool targetsProven =
         now - evidence.provenAt(ObjectKind::Targets) < m_limits.at(ObjectKind::Targets);
-    return m_failedAt && provenAt < *m_failedAt && !targetsProven
+    return m_failedAt && provenAt < *m_failedAt && !targetsProven && !evidence.behind(kind)
         && now - provenAt >= m_limits.at(kind) + answerTime;
 }
 
--- a/src/gateway/evidence/proof_renewal.hpp
+++ b/src/gateway/evidence/proof_renewal.hpp
@@ -52,13 +52,15 @@
     void storeFailed(const StoreEvidence &evidence, TimePoint now);
     /// \brief Whether the proof of a kind has run out, the store failed since, and no other
     /// instance has answered with a proof either. While the targets are proven, somebody reaches
-    /// the store and could prove the others.
+    /// the store and could prove the others; and a change that is known to lack can be got.
     [[nodiscard]] bool unprovable(ObjectKind kind, const StoreEvidence &evidence,
                                   TimePoint now) const;
-    /// \brief Whether that holds for the targets: nobody can prove anything.
+    /// \brief Whether that holds for the targets, and no change of evacuations is known to lack:
+    /// nobody can prove anything.
     [[nodiscard]] bool storeAway(const StoreEvidence &evidence, TimePoint now) const
     {
-        return unprovable(ObjectKind::Targets, evidence, now);
+        return unprovable(ObjectKind::Targets, evidence, now)
+            && !evidence.behind(ObjectKind::Evacuations);
     }
 
 private:
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -115,7 +115,7 @@
 
     StoreEvidence evidence; ///< What the answers of the store prove.
     bool storeAway = false; ///< Neither the store nor another instance can prove anything.
-    bool settingsUnprovable = false; ///< The same of the settings alone.
+    bool settingsUnprovable = false; ///< The same of the settings, and none are known to lack.
     bool proofAwaited = false; ///< Requests wait for a proof of the targets.
     TargetDirectory directory;
     std::shared_ptr<const DesiredState> desired;
@@ -179,8 +179,8 @@
     /// \param arrived Arrival of the request.
     [[nodiscard]] bool mayRoute(TimePoint arrived) const
     {
-        return settingsProven(arrived)
-            || ((storeAway || settingsUnprovable) && !evidence.behind(ObjectKind::Settings));
+        return settingsProven(arrived) || settingsUnprovable
+            || (storeAway && !evidence.behind(ObjectKind::Settings));
     }
     /// \brief Whether a request may still be in progress at the end of the process.
     /// \param deadline Of the request, which has just been read.
--- a/tests/gateway/test_proof_renewal.cpp
+++ b/tests/gateway/test_proof_renewal.cpp
@@ -177,6 +177,24 @@
     EXPECT_TRUE(member.renewal.storeAway(member.evidence, group.now));
 }
 
+/// A placer that could not keep up with the changes of targets sent on as if the store were away.
+TEST(ProofRenewal, theStoreIsntAwayForAnInstanceThatKnowsOfChangesThatItLacks)
+{
+    ProofRenewal renewal("a", {{ObjectKind::Targets, limit}});
+    const TimePoint now = start + limit + ProofRenewal::answerTime;
+    for (const ObjectKind kind : {ObjectKind::Targets, ObjectKind::Evacuations}) {
+        StoreEvidence evidence;
+        evidence.applied(kind, {0, 1}, {0, 1});
+        evidence.proven(ObjectKind::Targets, start);
+        renewal.storeFailed(evidence, start + step);
+        EXPECT_TRUE(renewal.storeAway(evidence, now));
+        evidence.told(kind, {0, 2}, now);
+        EXPECT_FALSE(renewal.storeAway(evidence, now));
+        evidence.applied(kind, {0, 2}, {0, 2});
+        EXPECT_TRUE(renewal.storeAway(evidence, now));
+    }
+}
+
 TEST(ProofRenewal, settingsArentUnprovableWhileSomebodyProvesTheTargets)
 {
     ProofRenewal renewal("a", {{ObjectKind::Targets, limit}, {ObjectKind::Settings, limit}});
