--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -148,7 +148,7 @@
         bool mayRun = co_await read(parser, exchange->memory, limits);
         if (mayRun) {
             const TimePoint arrived = m_gateway.now();
-            co_await awaitSettings(arrived);
+            co_await awaitSettings(parser.get(), arrived);
             prepare(*exchange, parser.release(), arrived);
             if (!exchange->repeatable)
                 mayRun = co_await untilAnswered();
@@ -386,9 +386,13 @@
     }
 
     /// Waits until a request may be routed, for a short time.
-    asio::awaitable<void> awaitSettings(TimePoint arrived)
+    asio::awaitable<void> awaitSettings(const HttpRequest &request, TimePoint arrived)
     {
-        const TimePoint latest = arrived + maxSettingsWait;
+        if (m_gateway.mayRoute(arrived))
+            co_return;
+        const std::optional<Duration> deadline = m_gateway.protocol.readCaller(request).deadline;
+        const TimePoint latest =
+            arrived + std::min(maxSettingsWait, deadline.value_or(maxSettingsWait));
         asio::steady_timer timer(m_gateway.loop);
         while (m_gateway.informed() && !m_gateway.mayRoute(arrived) && m_gateway.now() < latest) {
             m_gateway.metrics.count("held", "settings-unproven");
--- a/tests/platform/test_unproven_settings.cpp
+++ b/tests/platform/test_unproven_settings.cpp
@@ -41,6 +41,21 @@
     EXPECT_EQ(caller->count(rejected), 1U);
 }
 
+TEST_F(UnprovenSettings, aRequestIsntHeldBeyondItsDeadline)
+{
+    const auto caller = connect();
+    caller->send(request("q", 1, 100));
+    ASSERT_TRUE(runUntil([&] { return caller->count("HTTP/1.1 ") == 1; }));
+    EXPECT_EQ(caller->count(rejected), 1U);
+    // Every 20 ms; a busy machine looks less often.
+    std::size_t looks = 0;
+    for (std::size_t most = 1; most <= 5; ++most)
+        looks += std::size_t(m_gateway->metrics.text().find("label=\"settings-unproven\"} "
+                                                            + std::to_string(most) + "\n")
+                             != std::string::npos);
+    EXPECT_EQ(looks, 1U);
+}
+
 TEST_F(UnprovenSettings, aWaitingRequestIsRoutedByTheSettingsThatArrive)
 {
     const auto caller = connect();
