review: case 6, a copy of an earlier answer passes for a grant's (OWNER)

Cause: Control::executeOrder sends grants over kept connections without an id and takes any 200 for the answer. A second copy of the answer to the grant before passes for it; the placer then doesn't wait for the grant that got no answer, releases the keys and gives them to another upstream, and the unanswered grant is carried out after that.

--- /dev/null
+++ b/review/standins-2/cases.hpp
@@ -0,0 +1,22 @@
+/// \file
+/// \brief The scripted cases.
+#pragma once
+
+#include "lab.hpp"
+
+#include <string>
+
+namespace yuccaspan::review {
+
+/// \brief What a case is started with.
+struct CaseOptions
+{
+    std::string program; ///< Path of yuccaspan-gateway.
+    std::string folder; ///< Temporary folder for settings and logs.
+    bool trouble = true; ///< False: the same without the disruption.
+};
+
+/// \brief Case 6: a second copy of an earlier answer passes for the answer to a grant.
+[[nodiscard]] Verdict falseGrantAnswer(const CaseOptions &options, Record &record);
+
+} // namespace yuccaspan::review
--- /dev/null
+++ b/review/standins-2/deployment.hpp
@@ -0,0 +1,61 @@
+/// \file
+/// \brief A small deployment of a keyed service: a store, targets and gateways in three zones.
+#pragma once
+
+#include "cases.hpp"
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace yuccaspan::review {
+
+inline constexpr const char *zoneNames[] = {"a", "b", "c"};
+
+/// \brief Counts of what the callers sent and were answered.
+struct CallerCounts
+{
+    std::atomic<std::uint64_t> sent{0};
+    std::atomic<std::uint64_t> served{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> failed{0};
+};
+
+/// \brief All parts of it. Ends them with itself.
+class KeyedDeployment
+{
+public:
+    KeyedDeployment(const CaseOptions &options, Record &record, std::size_t targets);
+    ~KeyedDeployment();
+
+    /// \brief Waits until every gateway is ready and some requests were served.
+    [[nodiscard]] bool settled(std::chrono::seconds timeout);
+    /// \brief Asks to send nothing more to the targets of a zone.
+    void evacuate(const std::string &zone);
+    [[nodiscard]] bool gatewaysRun();
+
+    [[nodiscard]] KeyJudge &judge() noexcept { return m_judge; }
+    [[nodiscard]] TargetCounts &counts() noexcept { return m_counts; }
+    [[nodiscard]] KeyedTarget &target(std::size_t index) { return m_targets[index]; }
+    [[nodiscard]] std::string summary() const;
+
+private:
+    void publish();
+    void startCallers();
+    void call(std::size_t gateway);
+
+    Record &m_record;
+    KeyJudge m_judge;
+    TargetCounts m_counts;
+    CallerCounts m_callers;
+    StoreThread m_store;
+    std::deque<KeyedTarget> m_targets;
+    std::deque<GatewayProcess> m_gateways;
+    std::vector<std::thread> m_threads;
+    std::atomic<bool> m_stopped{false};
+};
+
+} // namespace yuccaspan::review
--- /dev/null
+++ b/review/standins-2/lab.cpp
@@ -0,0 +1,577 @@
+#include "lab.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+namespace yuccaspan::review {
+
+namespace {
+
+using platform_standins::Json;
+
+constexpr const char *loopbackAddress = "127.0.0.1";
+constexpr int listenBacklog = 128;
+constexpr std::size_t readBytes = 16384;
+/// Time that a request takes at a target.
+constexpr std::chrono::milliseconds workTime{10};
+/// How often a thread that waits for bytes looks whether it shall end.
+constexpr std::chrono::milliseconds readWait{200};
+constexpr std::size_t maxProcesses = 16;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusMisdirected = 421;
+
+// For the signal handler, which may use no locks.
+std::array<std::atomic<pid_t>, maxProcesses> startedProcesses{};
+std::atomic<std::size_t> startedCount{0};
+
+void endRun(int)
+{
+    for (std::size_t index = 0; index < startedCount; ++index)
+        kill(startedProcesses[index], SIGKILL);
+    _exit(static_cast<int>(Verdict::NotRun));
+}
+
+sockaddr_in socketAddress(const std::string &address)
+{
+    const std::size_t colon = address.find(':');
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr);
+    return out;
+}
+
+void setWait(int socket, int option, std::chrono::milliseconds wait)
+{
+    timeval value{};
+    value.tv_sec = wait.count() / 1000;
+    value.tv_usec = wait.count() % 1000 * 1000;
+    setsockopt(socket, SOL_SOCKET, option, &value, sizeof value);
+}
+
+std::uint16_t portOf(int socket)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
+int openListener(std::uint16_t &port)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = socketAddress(std::string(loopbackAddress) + ":0");
+    if (bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
+        || listen(listener, listenBacklog) != 0)
+        return -1;
+    port = portOf(listener);
+    return listener;
+}
+
+std::string freeAddress()
+{
+    std::uint16_t port = 0;
+    close(openListener(port));
+    return std::string(loopbackAddress) + ':' + std::to_string(port);
+}
+
+std::string statusLine(unsigned status)
+{
+    const char *text = status == statusOk ? "OK"
+        : status == statusConflict        ? "Conflict"
+                                          : "Misdirected Request";
+    return "HTTP/1.1 " + std::to_string(status) + ' ' + text + "\r\n";
+}
+
+std::string plainAnswer(unsigned status, const std::string &headers = {},
+                        const std::string &body = {})
+{
+    return statusLine(status) + headers + "Content-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+std::string text(const KeyOrder &order)
+{
+    return std::to_string(order.first) + ".." + std::to_string(order.last) + " generation "
+        + std::to_string(order.fence);
+}
+
+} // namespace
+
+Record::Record(const std::string &path) : m_file(path), m_start(LabClock::now())
+{ }
+
+void Record::line(const std::string &text)
+{
+    const std::lock_guard lock(m_mutex);
+    std::array<char, 32> time{};
+    std::snprintf(time.data(), time.size(), "%8.3f ", seconds());
+    m_file << time.data() << text << std::endl;
+}
+
+double Record::seconds() const
+{
+    return std::chrono::duration<double>(LabClock::now() - m_start).count();
+}
+
+KeyJudge::KeyJudge(Record &record, std::vector<std::string> targets)
+    : m_record(record),
+      m_names(std::move(targets)),
+      m_keys(m_names.size(), std::vector<Key>(keyCount))
+{ }
+
+void KeyJudge::taken(std::size_t target, const KeyOrder &order, LabClock::time_point arrived)
+{
+    const std::lock_guard lock(m_mutex);
+    const LabClock::time_point now = LabClock::now();
+    const auto until = arrived
+        + std::chrono::duration_cast<LabClock::duration>(
+                           std::chrono::duration<double>(order.holdSeconds));
+    std::uint64_t stale = 0;
+    std::string other;
+    std::uint64_t otherFence = 0;
+    for (std::uint32_t number = order.first; number <= order.last; ++number) {
+        for (std::size_t index = 0; index < m_keys.size(); ++index) {
+            const Key &theirs = m_keys[index][number];
+            if (index == target || theirs.taken < order.fence)
+                continue;
+            ++stale;
+            other = m_names[index];
+            otherFence = theirs.taken;
+            break;
+        }
+        Key &key = m_keys[target][number];
+        if (now >= key.until) {
+            endHold(target, number, now);
+            key.from = now;
+        }
+        key.until = std::max(key.until, until);
+        key.seen = std::max(key.seen, order.fence);
+        key.taken = std::max(key.taken, order.fence);
+    }
+    if (stale == 0)
+        return;
+    m_staleTakes += stale;
+    m_record.line("BROKEN OWNER: " + m_names[target] + " takes " + std::to_string(stale)
+                  + " keys of " + text(order) + ", and " + other + " had them with generation "
+                  + std::to_string(otherFence));
+}
+
+void KeyJudge::endHold(std::size_t target, std::uint32_t number, LabClock::time_point now)
+{
+    const Key &key = m_keys[target][number];
+    const LabClock::time_point end = std::min(now, key.until);
+    for (std::size_t index = 0; index < m_keys.size(); ++index) {
+        if (index == target)
+            continue;
+        const Key &theirs = m_keys[index][number];
+        const auto shared = std::min(end, theirs.until) - std::max(key.from, theirs.from);
+        m_longestShared = std::max(m_longestShared, std::chrono::duration<double>(shared).count());
+    }
+}
+
+void KeyJudge::released(std::size_t target, const KeyOrder &order)
+{
+    const std::lock_guard lock(m_mutex);
+    const LabClock::time_point now = LabClock::now();
+    for (std::uint32_t number = order.first; number <= order.last; ++number) {
+        Key &key = m_keys[target][number];
+        key.seen = std::max(key.seen, order.fence);
+        if (key.taken > order.fence || now >= key.until)
+            continue;
+        endHold(target, number, now);
+        key.until = now;
+    }
+}
+
+void KeyJudge::began(std::size_t target, std::uint32_t number)
+{
+    const std::lock_guard lock(m_mutex);
+    const LabClock::time_point now = LabClock::now();
+    for (std::size_t index = 0; index < m_keys.size(); ++index) {
+        if (index != target && now < m_keys[index][number].until)
+            ++m_sharedStarts;
+    }
+}
+
+bool KeyJudge::holds(std::size_t target, std::uint32_t number)
+{
+    const std::lock_guard lock(m_mutex);
+    return LabClock::now() < m_keys[target][number].until;
+}
+
+bool KeyJudge::seenHigher(std::size_t target, const KeyOrder &order)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto begin = m_keys[target].begin();
+    return std::any_of(begin + order.first, begin + order.last + 1,
+                       [&order](const Key &key) { return key.seen > order.fence; });
+}
+
+std::uint64_t KeyJudge::staleTakes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_staleTakes;
+}
+
+double KeyJudge::longestShared()
+{
+    const std::lock_guard lock(m_mutex);
+    const LabClock::time_point now = LabClock::now();
+    for (std::size_t target = 0; target < m_keys.size(); ++target) {
+        for (std::uint32_t number = 0; number < keyCount; ++number)
+            endHold(target, number, now);
+    }
+    return m_longestShared;
+}
+
+std::uint64_t KeyJudge::sharedStarts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_sharedStarts;
+}
+
+struct KeyedTarget::Request
+{
+    std::string text;
+    LabClock::time_point arrived;
+
+    [[nodiscard]] bool is(std::string_view start) const { return text.starts_with(start); }
+    [[nodiscard]] std::optional<KeyOrder> order() const
+    {
+        const Json body = Json::parse(bodyOf(text), nullptr, false);
+        if (!body.is_object() || !body.contains("from") || !body.contains("to")
+            || !body.contains("fence"))
+            return std::nullopt;
+        return KeyOrder{body.at("from"), body.at("to"), body.at("fence"),
+                        body.value("hold_s", 0.0)};
+    }
+};
+
+KeyedTarget::KeyedTarget(Record &record, KeyJudge &judge, TargetCounts &counts, std::size_t index,
+                         std::string id, std::string zone)
+    : m_record(record),
+      m_judge(judge),
+      m_counts(counts),
+      m_index(index),
+      m_id(std::move(id)),
+      m_zone(std::move(zone)),
+      m_listener(openListener(m_port))
+{
+    m_acceptor = std::thread([this] { accept(); });
+}
+
+KeyedTarget::~KeyedTarget()
+{
+    m_stopped = true;
+    shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    close(m_listener);
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const int socket : m_sockets)
+            shutdown(socket, SHUT_RDWR);
+    }
+    for (std::thread &thread : m_threads)
+        thread.join();
+}
+
+std::string KeyedTarget::address() const
+{
+    return std::string(loopbackAddress) + ':' + std::to_string(m_port);
+}
+
+void KeyedTarget::armLateGrant(std::chrono::milliseconds late, std::function<void()> whenDone)
+{
+    const std::lock_guard lock(m_mutex);
+    m_late = late;
+    m_whenDone = std::move(whenDone);
+}
+
+void KeyedTarget::accept()
+{
+    while (!m_stopped) {
+        const int socket = ::accept(m_listener, nullptr, nullptr);
+        if (socket < 0)
+            continue;
+        const std::lock_guard lock(m_mutex);
+        m_sockets.insert(socket);
+        m_threads.emplace_back([this, socket] { serve(socket); });
+    }
+}
+
+void KeyedTarget::serve(int socket)
+{
+    std::string buffer;
+    std::string lastGrantAnswer;
+    while (!m_stopped) {
+        std::optional<std::string> message = readMessage(socket, buffer);
+        if (!message || !handle(socket, {std::move(*message), LabClock::now()}, lastGrantAnswer))
+            break;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_sockets.erase(socket);
+    close(socket);
+}
+
+bool KeyedTarget::answer(int socket, const std::string &bytes)
+{
+    ++m_counts.answers;
+    return sendAll(socket, bytes);
+}
+
+bool KeyedTarget::handle(int socket, const Request &request, std::string &lastGrantAnswer)
+{
+    const std::string instance = "X-Instance-Id: " + m_id + "\r\n";
+    if (request.is("GET /health "))
+        return answer(socket, plainAnswer(statusOk, instance));
+    const std::string expected = headerOf(request.text, "X-Expected-Instance");
+    const std::string id = headerOf(request.text, "X-Request-Id");
+    const std::string echo = id.empty() ? std::string() : "X-Request-Id: " + id + "\r\n";
+    const std::string misdirected =
+        plainAnswer(statusMisdirected, echo + instance + "X-Not-Executed: 1\r\n");
+    if (!expected.empty() && expected != m_id)
+        return answer(socket, misdirected);
+    if (request.is("POST /grant "))
+        return grant(socket, request, lastGrantAnswer);
+    if (request.is("POST /release ")) {
+        ++m_counts.orders;
+        const std::optional<KeyOrder> order = request.order();
+        if (!order)
+            return false;
+        m_judge.released(m_index, *order);
+        m_record.line(m_id + " releases " + text(*order));
+        // Work that was running on these keys ends first.
+        std::this_thread::sleep_for(workTime);
+        return answer(socket,
+                      plainAnswer(statusOk,
+                                  echo + "X-Lease-Handover: " + m_id + '.'
+                                      + std::to_string(order->fence) + "\r\n"));
+    }
+    const auto key =
+        static_cast<std::uint32_t>(std::atoi(headerOf(request.text, "X-Shard-Key").c_str()));
+    if (id.empty() || key >= keyCount || !m_judge.holds(m_index, key))
+        return answer(socket, misdirected);
+    m_judge.began(m_index, key);
+    m_record.line(m_id + " runs " + id + " key " + std::to_string(key));
+    std::this_thread::sleep_for(workTime);
+    return answer(socket,
+                  plainAnswer(statusOk, echo + "X-Server-Signature: signed." + id + "\r\n",
+                              "answer to " + id));
+}
+
+bool KeyedTarget::grant(int socket, const Request &request, std::string &lastGrantAnswer)
+{
+    ++m_counts.orders;
+    const std::optional<KeyOrder> order = request.order();
+    if (!order)
+        return false;
+    if (m_judge.seenHigher(m_index, *order)) {
+        m_record.line(m_id + " refuses " + text(*order));
+        return answer(socket, plainAnswer(statusConflict));
+    }
+    std::optional<std::chrono::milliseconds> late;
+    std::function<void()> whenDone;
+    if (!lastGrantAnswer.empty()) {
+        const std::lock_guard lock(m_mutex);
+        late = std::exchange(m_late, std::nullopt);
+        whenDone = std::exchange(m_whenDone, {});
+    }
+    if (late) {
+        ++m_counts.extraAnswers;
+        ++m_counts.lateGrants;
+        m_record.line(m_id + " gets grant " + text(*order)
+                      + " on a kept connection; sends a second "
+                      + "copy of the answer to the grant before, leaves this one unanswered");
+        const bool sent = sendAll(socket, lastGrantAnswer);
+        whenDone();
+        std::this_thread::sleep_until(request.arrived + *late);
+        if (m_judge.seenHigher(m_index, *order))
+            return sent;
+        m_record.line(m_id + " carries out, " + std::to_string(late->count()) + " ms late, grant "
+                      + text(*order));
+        m_judge.taken(m_index, *order, request.arrived);
+        return sent;
+    }
+    m_judge.taken(m_index, *order, request.arrived);
+    m_record.line(m_id + " takes " + text(*order) + " for " + std::to_string(order->holdSeconds)
+                  + " s");
+    lastGrantAnswer = plainAnswer(statusOk);
+    return answer(socket, lastGrantAnswer);
+}
+
+StoreThread::StoreThread()
+{
+    auto store = platform_standins::StoreStandin::create(m_loop);
+    if (!store)
+        std::exit(static_cast<int>(Verdict::NotRun));
+    m_store = std::move(*store);
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+StoreThread::~StoreThread()
+{
+    m_loop.stop();
+    m_thread.join();
+}
+
+void StoreThread::put(const std::string &kind, const std::string &name, Json spec)
+{
+    m_loop.post([this, kind, name, spec = std::move(spec)] {
+        m_store->table().put(kind, name, spec);
+        m_store->changed();
+    });
+}
+
+GatewayProcess::GatewayProcess(const std::string &program, const std::string &folder,
+                               const std::string &name, const std::string &zone,
+                               const std::string &store)
+    : m_callers(freeAddress()), m_readiness(freeAddress())
+{
+    // The values of the template of the deploy file for a small deployment.
+    const Json settings{
+        {"name", name},
+        {"zone", zone},
+        {"callers", m_callers},
+        {"readiness", m_readiness},
+        {"peers", freeAddress()},
+        {"store", store},
+        {"repeatRatio", 0.2},
+        {"repeatSlack", 56},
+        {"coldFactor", 1.5},
+        {"coldSlack", 5},
+        {"drainWithinS", 2},
+        {"evacuateWithinS", 5},
+        {"applyWithinS", 2},
+        {"stopWithinS", 6},
+        {"holdMostS", 10},
+        {"contracts",
+         {"base", "drain", "config", "cost", "retry", "recover", "own", "places", "platform"}},
+        {"pipelineDepth", 8},
+        {"waitingOrder", "least-cost"},
+        {"newsFromInstances", 30}};
+    const std::string path = folder + '/' + name + ".json";
+    std::ofstream(path) << settings.dump();
+    setenv("YUCCASPAN_NODE_FILE", path.c_str(), 1);
+    auto process = standins::Process::start({program}, folder + '/' + name + ".log");
+    if (!process) {
+        std::fprintf(stderr, "cannot start %s\n", program.c_str());
+        std::exit(static_cast<int>(Verdict::NotRun));
+    }
+    m_process = std::move(*process);
+    startedProcesses[startedCount % maxProcesses] = m_process->pid();
+    ++startedCount;
+}
+
+bool GatewayProcess::ready() const
+{
+    constexpr std::chrono::milliseconds timeout{500};
+    const int socket = connectTo(m_readiness, timeout);
+    std::string buffer;
+    std::optional<std::string> answer;
+    if (socket >= 0 && sendAll(socket, "GET /readiness HTTP/1.1\r\nHost: node\r\n\r\n"))
+        answer = readMessage(socket, buffer);
+    close(socket);
+    return answer && answer->starts_with("HTTP/1.1 200");
+}
+
+bool GatewayProcess::running()
+{
+    return !m_process->wait(Duration::zero());
+}
+
+void guardRun(std::chrono::seconds limit)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, endRun);
+    std::signal(SIGINT, endRun);
+    std::signal(SIGALRM, endRun);
+    alarm(static_cast<unsigned>(limit.count()));
+}
+
+int connectTo(const std::string &address, std::chrono::milliseconds timeout)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    setWait(socket, SO_SNDTIMEO, timeout);
+    setWait(socket, SO_RCVTIMEO, timeout);
+    const sockaddr_in peer = socketAddress(address);
+    if (connect(socket, reinterpret_cast<const sockaddr *>(&peer), sizeof peer) == 0) {
+        const int yes = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+        return socket;
+    }
+    close(socket);
+    return -1;
+}
+
+bool sendAll(int socket, const std::string &bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const ssize_t count = send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0)
+            return false;
+        sent += static_cast<std::size_t>(count);
+    }
+    return true;
+}
+
+std::optional<std::string> readMessage(int socket, std::string &buffer)
+{
+    while (true) {
+        const std::size_t headEnd = buffer.find("\r\n\r\n");
+        if (headEnd != std::string::npos) {
+            const std::size_t bodyStart = headEnd + 4;
+            const std::string length = headerOf(buffer.substr(0, bodyStart), "Content-Length");
+            const std::size_t size = bodyStart + std::strtoul(length.c_str(), nullptr, 10);
+            if (buffer.size() >= size) {
+                std::string message = buffer.substr(0, size);
+                buffer.erase(0, size);
+                return message;
+            }
+        }
+        std::array<char, readBytes> bytes{};
+        const ssize_t count = recv(socket, bytes.data(), bytes.size(), 0);
+        if (count <= 0)
+            return std::nullopt;
+        buffer.append(bytes.data(), static_cast<std::size_t>(count));
+    }
+}
+
+std::string headerOf(const std::string &message, const std::string &name)
+{
+    const auto same = [](char left, char right) {
+        return std::tolower(static_cast<unsigned char>(left))
+            == std::tolower(static_cast<unsigned char>(right));
+    };
+    const std::string field = "\r\n" + name + ":";
+    const std::size_t headEnd = std::min(message.find("\r\n\r\n"), message.size());
+    const auto end = message.begin() + static_cast<std::ptrdiff_t>(headEnd);
+    auto found = std::search(message.begin(), end, field.begin(), field.end(), same);
+    if (found == end)
+        return {};
+    found += static_cast<std::ptrdiff_t>(field.size());
+    while (found != end && *found == ' ')
+        ++found;
+    return {found, std::find(found, end, '\r')};
+}
+
+std::string bodyOf(const std::string &message)
+{
+    const std::size_t headEnd = message.find("\r\n\r\n");
+    return headEnd == std::string::npos ? std::string() : message.substr(headEnd + 4);
+}
+
+} // namespace yuccaspan::review
--- /dev/null
+++ b/review/standins-2/lab.hpp
@@ -0,0 +1,202 @@
+/// \file
+/// \brief Parts of the scripted cases: a record, targets that hold keys, callers and gateways.
+#pragma once
+
+#include "event_loop.hpp"
+#include "process.hpp"
+#include "store_standin.hpp"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace yuccaspan::review {
+
+using LabClock = std::chrono::steady_clock;
+
+inline constexpr std::uint32_t keyCount = 65536;
+
+/// \brief Ends of the run of a case, as exit codes.
+enum class Verdict { Held = 0, Broken = 1, NotRun = 2 };
+
+/// \brief The file that says what was sent, answered and run. May be used from any thread.
+class Record
+{
+public:
+    explicit Record(const std::string &path);
+    /// \brief Writes a line with the seconds since the start.
+    void line(const std::string &text);
+    [[nodiscard]] double seconds() const;
+
+private:
+    std::mutex m_mutex;
+    std::ofstream m_file;
+    LabClock::time_point m_start;
+};
+
+/// \brief An order for the keys from first to last, both inclusive.
+struct KeyOrder
+{
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t fence = 0;
+    double holdSeconds = 0; ///< Of a grant.
+};
+
+/// \brief Judges what all targets take and give up. May be used from any thread.
+class KeyJudge
+{
+public:
+    KeyJudge(Record &record, std::vector<std::string> targets);
+
+    /// \brief A target takes keys.
+    /// \param arrived When the call came; the hold runs from then.
+    void taken(std::size_t target, const KeyOrder &order, LabClock::time_point arrived);
+    void released(std::size_t target, const KeyOrder &order);
+    /// \brief A target begins a request.
+    void began(std::size_t target, std::uint32_t key);
+    [[nodiscard]] bool holds(std::size_t target, std::uint32_t key);
+    /// \brief Whether a target has seen a higher token on one of the keys.
+    [[nodiscard]] bool seenHigher(std::size_t target, const KeyOrder &order);
+    /// \brief Takes of a key with a token that was not above all of other targets.
+    [[nodiscard]] std::uint64_t staleTakes() const;
+    /// \brief Longest time for which two targets held the same key.
+    [[nodiscard]] double longestShared();
+    /// \brief Requests begun on a key while another target held it too.
+    [[nodiscard]] std::uint64_t sharedStarts() const;
+
+private:
+    struct Key
+    {
+        std::uint64_t seen = 0; ///< Highest token in an order to the target.
+        std::uint64_t taken = 0; ///< Highest token with which the target had it.
+        LabClock::time_point from;
+        LabClock::time_point until;
+    };
+
+    /// Ends the hold of a key and measures for how long others had it too.
+    void endHold(std::size_t target, std::uint32_t key, LabClock::time_point now);
+
+    mutable std::mutex m_mutex;
+    Record &m_record;
+    std::vector<std::string> m_names;
+    std::vector<std::vector<Key>> m_keys; ///< By target.
+    std::uint64_t m_staleTakes = 0;
+    std::uint64_t m_sharedStarts = 0;
+    double m_longestShared = 0;
+};
+
+/// \brief Counts of all targets.
+struct TargetCounts
+{
+    std::atomic<std::uint64_t> answers{0}; ///< To requests, orders and health calls.
+    std::atomic<std::uint64_t> orders{0};
+    std::atomic<std::uint64_t> extraAnswers{0};
+    std::atomic<std::uint64_t> lateGrants{0};
+};
+
+/// \brief A target of a keyed service. Each connection has a thread.
+class KeyedTarget
+{
+public:
+    KeyedTarget(Record &record, KeyJudge &judge, TargetCounts &counts, std::size_t index,
+                std::string id, std::string zone);
+    KeyedTarget(const KeyedTarget &) = delete;
+    KeyedTarget &operator=(const KeyedTarget &) = delete;
+    ~KeyedTarget();
+
+    [[nodiscard]] const std::string &id() const noexcept { return m_id; }
+    [[nodiscard]] const std::string &zone() const noexcept { return m_zone; }
+    [[nodiscard]] std::string address() const;
+    /// \brief Arms the disruption for the next grant on a connection that has already carried the
+    /// answer to one: a second copy of that answer comes where the next is due, the grant itself
+    /// gets none and is carried out late.
+    /// \param whenDone Called on the target's thread once it has happened.
+    void armLateGrant(std::chrono::milliseconds late, std::function<void()> whenDone);
+
+private:
+    struct Request;
+
+    void accept();
+    void serve(int socket);
+    /// Handles a request; returns whether the connection goes on.
+    bool handle(int socket, const Request &request, std::string &lastGrantAnswer);
+    bool grant(int socket, const Request &request, std::string &lastGrantAnswer);
+    [[nodiscard]] bool answer(int socket, const std::string &bytes);
+
+    Record &m_record;
+    KeyJudge &m_judge;
+    TargetCounts &m_counts;
+    std::size_t m_index;
+    std::string m_id;
+    std::string m_zone;
+    std::uint16_t m_port = 0; ///< Set with the listener, so declared before it.
+    int m_listener = -1;
+    std::atomic<bool> m_stopped{false};
+    std::mutex m_mutex;
+    std::optional<std::chrono::milliseconds> m_late;
+    std::function<void()> m_whenDone;
+    std::set<int> m_sockets;
+    std::vector<std::thread> m_threads;
+    std::thread m_acceptor;
+};
+
+/// \brief The store on a thread of its own.
+class StoreThread
+{
+public:
+    StoreThread();
+    ~StoreThread();
+    [[nodiscard]] std::string address() const { return m_store->address(); }
+    /// \brief Writes an object as the operator or a target does.
+    void put(const std::string &kind, const std::string &name, platform_standins::Json spec);
+
+private:
+    standins::EventLoop m_loop;
+    std::unique_ptr<platform_standins::StoreStandin> m_store;
+    std::thread m_thread;
+};
+
+/// \brief A gateway process, started as the deploy file says.
+class GatewayProcess
+{
+public:
+    GatewayProcess(const std::string &program, const std::string &folder, const std::string &name,
+                   const std::string &zone, const std::string &store);
+    [[nodiscard]] const std::string &callers() const noexcept { return m_callers; }
+    [[nodiscard]] const std::string &readiness() const noexcept { return m_readiness; }
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] bool running();
+
+private:
+    std::string m_callers;
+    std::string m_readiness;
+    std::unique_ptr<standins::Process> m_process;
+};
+
+/// \brief Makes sure that a run ends in time, also on a signal, and that no gateway is left.
+void guardRun(std::chrono::seconds limit);
+
+/// \brief A blocking connection to "ip:port"; -1 if there is none in time.
+[[nodiscard]] int connectTo(const std::string &address, std::chrono::milliseconds timeout);
+/// \brief Sends all bytes.
+[[nodiscard]] bool sendAll(int socket, const std::string &bytes);
+/// \brief Reads one answer or request with a length.
+/// \param buffer Bytes that were read before; keeps those that follow.
+[[nodiscard]] std::optional<std::string> readMessage(int socket, std::string &buffer);
+/// \brief The value of a header of a message; empty if it is absent.
+[[nodiscard]] std::string headerOf(const std::string &message, const std::string &name);
+/// \brief The body of a message.
+[[nodiscard]] std::string bodyOf(const std::string &message);
+
+} // namespace yuccaspan::review
