--- a/review/standins-2/case_false_grant_answer.cpp
+++ b/review/standins-2/case_false_grant_answer.cpp
@@ -17,7 +17,7 @@
 
 Verdict falseGrantAnswer(const CaseOptions &options, Record &record)
 {
-    KeyedDeployment deployment(options, record, targetCount);
+    LabDeployment deployment(options, record, {targetCount, true});
     if (!deployment.settled(settleTimeout)) {
         record.line("not settled; " + deployment.summary());
         return Verdict::NotRun;
@@ -25,7 +25,7 @@
     // All grants are given and renewed for some seconds before the trouble.
     std::this_thread::sleep_for(std::chrono::seconds(4));
     std::atomic<bool> happened{!options.trouble};
-    KeyedTarget &target = deployment.target(0);
+    LabTarget &target = deployment.target(0);
     if (options.trouble)
         target.armLateGrant(lateness, [&happened] { happened = true; });
     const bool armed = standins::waitUntil([&happened] { return happened.load(); }, settleTimeout);
--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -19,4 +19,7 @@
 /// \brief Case 6: a second copy of an earlier answer passes for the answer to a grant.
 [[nodiscard]] Verdict falseGrantAnswer(const CaseOptions &options, Record &record);
 
+/// \brief Case 7: answers to HEAD requests.
+[[nodiscard]] Verdict headRequests(const CaseOptions &options, Record &record);
+
 } // namespace yuccaspan::review
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -10,8 +10,7 @@
 
 using platform_standins::Json;
 
-constexpr const char *serviceName = "keyed";
-constexpr const char *hostName = "review.example";
+constexpr const char *serviceName = "stock";
 /// Requests per second at each gateway.
 constexpr unsigned callsPerSecond = 15;
 constexpr std::chrono::milliseconds callTimeout{1000};
@@ -24,7 +23,7 @@
     return names;
 }
 
-Json desiredState()
+Json desiredState(bool keyed)
 {
     const Json route{{"name", "lookup"},
                      {"host", hostName},
@@ -36,7 +35,7 @@
                      {"service", serviceName},
                      {"max_attempts", 2}};
     const Json service{{"name", serviceName}, {"health_path", "/health"}, {"max_connections", 100},
-                       {"warmup_s", 0.5},     {"warmup_per_s", 50.0},     {"sharded", true},
+                       {"warmup_s", 0.5},     {"warmup_per_s", 50.0},     {"sharded", keyed},
                        {"warm_s", 0.5},       {"protocol", "h1"},         {"tls", false}};
     return {{"version", "00000001"},
             {"routes", Json::array({route})},
@@ -46,14 +45,15 @@
 
 } // namespace
 
-KeyedDeployment::KeyedDeployment(const CaseOptions &options, Record &record, std::size_t targets)
-    : m_record(record), m_judge(record, targetNames(targets))
+LabDeployment::LabDeployment(const CaseOptions &options, Record &record, DeploymentPlan plan)
+    : m_record(record), m_plan(plan), m_judge(record, targetNames(plan.targets))
 {
     publish();
     std::size_t index = 0;
-    for (const std::string &name : targetNames(targets)) {
-        KeyedTarget &target = m_targets.emplace_back(m_record, m_judge, m_counts, index, name,
-                                                     zoneNames[index % std::size(zoneNames)]);
+    for (const std::string &name : targetNames(m_plan.targets)) {
+        LabTarget &target =
+            m_targets.emplace_back(m_record, m_judge, m_counts, index, name,
+                                   zoneNames[index % std::size(zoneNames)], m_plan.keyed);
         ++index;
         const Json info{{"service", serviceName},
                         {"version", "v1"},
@@ -72,7 +72,7 @@
     startCallers();
 }
 
-KeyedDeployment::~KeyedDeployment()
+LabDeployment::~LabDeployment()
 {
     m_stopped = true;
     for (std::thread &thread : m_threads)
@@ -80,18 +80,18 @@
     m_gateways.clear();
 }
 
-void KeyedDeployment::publish()
+void LabDeployment::publish()
 {
-    m_store.put("config", "main", desiredState());
+    m_store.put("config", "main", desiredState(m_plan.keyed));
 }
 
-void KeyedDeployment::startCallers()
+void LabDeployment::startCallers()
 {
     for (std::size_t index = 0; index < m_gateways.size(); ++index)
         m_threads.emplace_back([this, index] { call(index); });
 }
 
-void KeyedDeployment::call(std::size_t gateway)
+void LabDeployment::call(std::size_t gateway)
 {
     std::mt19937 random(static_cast<unsigned>(gateway) + 1);
     std::uniform_int_distribution<std::uint32_t> anyKey(0, keyCount - 1);
@@ -133,7 +133,7 @@
         close(socket);
 }
 
-bool KeyedDeployment::settled(std::chrono::seconds timeout)
+bool LabDeployment::settled(std::chrono::seconds timeout)
 {
     constexpr std::uint64_t enoughServed = 50;
     const auto ready = [this] {
@@ -146,13 +146,13 @@
     return standins::waitUntil(ready, timeout);
 }
 
-void KeyedDeployment::evacuate(const std::string &zone)
+void LabDeployment::evacuate(const std::string &zone)
 {
     m_record.line("operator evacuates zone " + zone);
     m_store.put("evacuations", zone, Json::object());
 }
 
-bool KeyedDeployment::gatewaysRun()
+bool LabDeployment::gatewaysRun()
 {
     for (GatewayProcess &gateway : m_gateways) {
         if (!gateway.running())
@@ -161,7 +161,7 @@
     return true;
 }
 
-std::string KeyedDeployment::summary() const
+std::string LabDeployment::summary() const
 {
     return "callers: sent " + std::to_string(m_callers.sent) + ", served "
         + std::to_string(m_callers.served) + ", refused " + std::to_string(m_callers.refused)
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief A small deployment of a keyed service: a store, targets and gateways in three zones.
+/// \brief A small deployment of one service: a store, targets and gateways in three zones.
 #pragma once
 
 #include "cases.hpp"
@@ -13,6 +13,7 @@
 
 namespace yuccaspan::review {
 
+inline constexpr const char *hostName = "review.example";
 inline constexpr const char *zoneNames[] = {"a", "b", "c"};
 
 /// \brief Counts of what the callers sent and were answered.
@@ -24,12 +25,19 @@
     std::atomic<std::uint64_t> failed{0};
 };
 
+/// \brief What a deployment is made of.
+struct DeploymentPlan
+{
+    std::size_t targets = 5;
+    bool keyed = true; ///< Whether the service is sharded.
+};
+
 /// \brief All parts of it. Ends them with itself.
-class KeyedDeployment
+class LabDeployment
 {
 public:
-    KeyedDeployment(const CaseOptions &options, Record &record, std::size_t targets);
-    ~KeyedDeployment();
+    LabDeployment(const CaseOptions &options, Record &record, DeploymentPlan plan);
+    ~LabDeployment();
 
     /// \brief Waits until every gateway is ready and some requests were served.
     [[nodiscard]] bool settled(std::chrono::seconds timeout);
@@ -39,7 +47,12 @@
 
     [[nodiscard]] KeyJudge &judge() noexcept { return m_judge; }
     [[nodiscard]] TargetCounts &counts() noexcept { return m_counts; }
-    [[nodiscard]] KeyedTarget &target(std::size_t index) { return m_targets[index]; }
+    [[nodiscard]] LabTarget &target(std::size_t index) { return m_targets[index]; }
+    /// \brief The address of a gateway for callers.
+    [[nodiscard]] const std::string &callers(std::size_t gateway) const
+    {
+        return m_gateways[gateway].callers();
+    }
     [[nodiscard]] std::string summary() const;
 
 private:
@@ -48,11 +61,12 @@
     void call(std::size_t gateway);
 
     Record &m_record;
+    DeploymentPlan m_plan;
     KeyJudge m_judge;
     TargetCounts m_counts;
     CallerCounts m_callers;
     StoreThread m_store;
-    std::deque<KeyedTarget> m_targets;
+    std::deque<LabTarget> m_targets;
     std::deque<GatewayProcess> m_gateways;
     std::vector<std::thread> m_threads;
     std::atomic<bool> m_stopped{false};
--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -243,7 +243,7 @@
     return m_sharedStarts;
 }
 
-struct KeyedTarget::Request
+struct LabTarget::Request
 {
     std::string text;
     LabClock::time_point arrived;
@@ -260,20 +260,21 @@
     }
 };
 
-KeyedTarget::KeyedTarget(Record &record, KeyJudge &judge, TargetCounts &counts, std::size_t index,
-                         std::string id, std::string zone)
+LabTarget::LabTarget(Record &record, KeyJudge &judge, TargetCounts &counts, std::size_t index,
+                     std::string id, std::string zone, bool keyed)
     : m_record(record),
       m_judge(judge),
       m_counts(counts),
       m_index(index),
       m_id(std::move(id)),
       m_zone(std::move(zone)),
+      m_keyed(keyed),
       m_listener(openListener(m_port))
 {
     m_acceptor = std::thread([this] { accept(); });
 }
 
-KeyedTarget::~KeyedTarget()
+LabTarget::~LabTarget()
 {
     m_stopped = true;
     shutdown(m_listener, SHUT_RDWR);
@@ -288,19 +289,19 @@
         thread.join();
 }
 
-std::string KeyedTarget::address() const
+std::string LabTarget::address() const
 {
     return std::string(loopbackAddress) + ':' + std::to_string(m_port);
 }
 
-void KeyedTarget::armLateGrant(std::chrono::milliseconds late, std::function<void()> whenDone)
+void LabTarget::armLateGrant(std::chrono::milliseconds late, std::function<void()> whenDone)
 {
     const std::lock_guard lock(m_mutex);
     m_late = late;
     m_whenDone = std::move(whenDone);
 }
 
-void KeyedTarget::accept()
+void LabTarget::accept()
 {
     while (!m_stopped) {
         const int socket = ::accept(m_listener, nullptr, nullptr);
@@ -312,7 +313,7 @@
     }
 }
 
-void KeyedTarget::serve(int socket)
+void LabTarget::serve(int socket)
 {
     std::string buffer;
     std::string lastGrantAnswer;
@@ -326,13 +327,13 @@
     close(socket);
 }
 
-bool KeyedTarget::answer(int socket, const std::string &bytes)
+bool LabTarget::answer(int socket, const std::string &bytes)
 {
     ++m_counts.answers;
     return sendAll(socket, bytes);
 }
 
-bool KeyedTarget::handle(int socket, const Request &request, std::string &lastGrantAnswer)
+bool LabTarget::handle(int socket, const Request &request, std::string &lastGrantAnswer)
 {
     const std::string instance = "X-Instance-Id: " + m_id + "\r\n";
     if (request.is("GET /health "))
@@ -362,17 +363,21 @@
     }
     const auto key =
         static_cast<std::uint32_t>(std::atoi(headerOf(request.text, "X-Shard-Key").c_str()));
-    if (id.empty() || key >= keyCount || !m_judge.holds(m_index, key))
+    if (id.empty() || (m_keyed && (key >= keyCount || !m_judge.holds(m_index, key))))
         return answer(socket, misdirected);
-    m_judge.began(m_index, key);
+    if (m_keyed)
+        m_judge.began(m_index, key);
     m_record.line(m_id + " runs " + id + " key " + std::to_string(key));
     std::this_thread::sleep_for(workTime);
-    return answer(socket,
-                  plainAnswer(statusOk, echo + "X-Server-Signature: signed." + id + "\r\n",
-                              "answer to " + id));
+    const std::string signature = "X-Server-Signature: signed." + id + "\r\n";
+    std::string whole = plainAnswer(statusOk, echo + signature, "answer to " + id);
+    // The answer to HEAD has the head of the answer to GET, and no body.
+    if (request.is("HEAD "))
+        whole.erase(whole.find("\r\n\r\n") + 4);
+    return answer(socket, whole);
 }
 
-bool KeyedTarget::grant(int socket, const Request &request, std::string &lastGrantAnswer)
+bool LabTarget::grant(int socket, const Request &request, std::string &lastGrantAnswer)
 {
     ++m_counts.orders;
     const std::optional<KeyOrder> order = request.order();
--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -105,15 +105,15 @@
     std::atomic<std::uint64_t> lateGrants{0};
 };
 
-/// \brief A target of a keyed service. Each connection has a thread.
-class KeyedTarget
+/// \brief A target. Each connection has a thread.
+class LabTarget
 {
 public:
-    KeyedTarget(Record &record, KeyJudge &judge, TargetCounts &counts, std::size_t index,
-                std::string id, std::string zone);
-    KeyedTarget(const KeyedTarget &) = delete;
-    KeyedTarget &operator=(const KeyedTarget &) = delete;
-    ~KeyedTarget();
+    LabTarget(Record &record, KeyJudge &judge, TargetCounts &counts, std::size_t index,
+              std::string id, std::string zone, bool keyed);
+    LabTarget(const LabTarget &) = delete;
+    LabTarget &operator=(const LabTarget &) = delete;
+    ~LabTarget();
 
     [[nodiscard]] const std::string &id() const noexcept { return m_id; }
     [[nodiscard]] const std::string &zone() const noexcept { return m_zone; }
@@ -140,6 +140,7 @@
     std::size_t m_index;
     std::string m_id;
     std::string m_zone;
+    bool m_keyed; ///< Whether it runs only requests whose key it holds.
     std::uint16_t m_port = 0; ///< Set with the listener, so declared before it.
     int m_listener = -1;
     std::atomic<bool> m_stopped{false};
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -38,6 +38,8 @@
     Verdict verdict = Verdict::NotRun;
     if (name == "false-grant-answer")
         verdict = falseGrantAnswer(options, record);
+    else if (name == "head-requests")
+        verdict = headRequests(options, record);
     record.line(toString(verdict));
     std::puts(toString(verdict));
     return static_cast<int>(verdict);
