review: case 8, a later life answers before the store tells of it (OWNER)

Cause: an unanswered renewal on a kept connection counts as ConnectionLost, which a later life of the upstream is held not to carry out. If the upstream has started again under its id behind a cut from the store, the answer that the connection carried came from that later life. Its unanswered grant isn't waited for, and the keys go to another upstream before it is carried out.

--- a/review/standins-2/case_false_grant_answer.cpp
+++ b/review/standins-2/case_false_grant_answer.cpp
@@ -27,7 +27,7 @@
     std::atomic<bool> happened{!options.trouble};
     LabTarget &target = deployment.target(0);
     if (options.trouble)
-        target.armLateGrant(lateness, [&happened] { happened = true; });
+        target.armLateGrant({lateness, true, [&happened] { happened = true; }});
     const bool armed = standins::waitUntil([&happened] { return happened.load(); }, settleTimeout);
     deployment.evacuate(target.zone());
     std::this_thread::sleep_for(watchTime);
--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -22,4 +22,8 @@
 /// \brief Case 7: answers to HEAD requests.
 [[nodiscard]] Verdict headRequests(const CaseOptions &options, Record &record);
 
+/// \brief Case 8: a grant that the next life of a target, of which the store doesn't tell yet,
+/// leaves unanswered.
+[[nodiscard]] Verdict rebornGrant(const CaseOptions &options, Record &record);
+
 } // namespace yuccaspan::review
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -11,6 +11,7 @@
 using platform_standins::Json;
 
 constexpr const char *serviceName = "stock";
+constexpr double warmupSeconds = 3.0;
 /// Requests per second at each gateway.
 constexpr unsigned callsPerSecond = 15;
 constexpr std::chrono::milliseconds callTimeout{1000};
@@ -34,9 +35,15 @@
                      {"priority", 1},
                      {"service", serviceName},
                      {"max_attempts", 2}};
-    const Json service{{"name", serviceName}, {"health_path", "/health"}, {"max_connections", 100},
-                       {"warmup_s", 0.5},     {"warmup_per_s", 50.0},     {"sharded", keyed},
-                       {"warm_s", 0.5},       {"protocol", "h1"},         {"tls", false}};
+    const Json service{{"name", serviceName},
+                       {"health_path", "/health"},
+                       {"max_connections", 110},
+                       {"warmup_s", warmupSeconds},
+                       {"warmup_per_s", 11.0},
+                       {"sharded", keyed},
+                       {"warm_s", 3.0},
+                       {"protocol", "h1"},
+                       {"tls", false}};
     return {{"version", "00000001"},
             {"routes", Json::array({route})},
             {"services", Json::array({service})},
@@ -49,22 +56,11 @@
     : m_record(record), m_plan(plan), m_judge(record, targetNames(plan.targets))
 {
     publish();
-    std::size_t index = 0;
     for (const std::string &name : targetNames(m_plan.targets)) {
-        LabTarget &target =
-            m_targets.emplace_back(m_record, m_judge, m_counts, index, name,
-                                   zoneNames[index % std::size(zoneNames)], m_plan.keyed);
-        ++index;
-        const Json info{{"service", serviceName},
-                        {"version", "v1"},
-                        {"zone", target.zone()},
-                        {"max_concurrency", 8}};
-        const Json status{{"state", "ready"}, {"sequence", 1}, {"warmup_left_s", 0}};
-        m_store.put("servers", name,
-                    {{"address", target.address()},
-                     {"born", 1760000000000 + static_cast<std::int64_t>(index)},
-                     {"info", info},
-                     {"status", status}});
+        const std::size_t index = m_targets.size();
+        m_targets.emplace_back(m_record, m_judge, m_counts, index, name,
+                               zoneNames[index % std::size(zoneNames)], m_plan.keyed);
+        registerTarget(index, 1);
     }
     for (const char *zone : zoneNames)
         m_gateways.emplace_back(options.program, options.folder, std::string("gateway-") + zone,
@@ -80,6 +76,25 @@
     m_gateways.clear();
 }
 
+void LabDeployment::registerTarget(std::size_t index, std::int64_t life)
+{
+    const LabTarget &target = m_targets[index];
+    const Json info{{"service", serviceName},
+                    {"version", "v1"},
+                    {"zone", target.zone()},
+                    {"max_concurrency", 6}};
+    // The first lives started before the traffic, so they are warm.
+    const Json status{
+        {"state", "ready"}, {"sequence", 1}, {"warmup_left_s", life > 1 ? warmupSeconds : 0.0}};
+    constexpr std::int64_t firstStart = 1760000000000;
+    constexpr std::int64_t betweenLives = 60000;
+    m_store.put("servers", target.id(),
+                {{"address", target.address()},
+                 {"born", firstStart + life * betweenLives},
+                 {"info", info},
+                 {"status", status}});
+}
+
 void LabDeployment::publish()
 {
     m_store.put("config", "main", desiredState(m_plan.keyed));
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -41,6 +41,8 @@
 
     /// \brief Waits until every gateway is ready and some requests were served.
     [[nodiscard]] bool settled(std::chrono::seconds timeout);
+    /// \brief Writes the entry of a target; its life is the given one.
+    void registerTarget(std::size_t index, std::int64_t life);
     /// \brief Asks to send nothing more to the targets of a zone.
     void evacuate(const std::string &zone);
     [[nodiscard]] bool gatewaysRun();
--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -69,10 +69,13 @@
     return ntohs(address.sin_port);
 }
 
+/// Opens a port, or a free one if it is 0.
 int openListener(std::uint16_t &port)
 {
     const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = socketAddress(std::string(loopbackAddress) + ":0");
+    const int yes = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    sockaddr_in address = socketAddress(std::string(loopbackAddress) + ':' + std::to_string(port));
     if (bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
         || listen(listener, listenBacklog) != 0)
         return -1;
@@ -206,6 +209,20 @@
     }
 }
 
+void KeyJudge::ended(std::size_t target)
+{
+    const std::lock_guard lock(m_mutex);
+    const LabClock::time_point now = LabClock::now();
+    for (std::uint32_t number = 0; number < keyCount; ++number) {
+        Key &key = m_keys[target][number];
+        if (now < key.until) {
+            endHold(target, number, now);
+            key.until = now;
+        }
+        key.seen = 0;
+    }
+}
+
 bool KeyJudge::holds(std::size_t target, std::uint32_t number)
 {
     const std::lock_guard lock(m_mutex);
@@ -280,46 +297,65 @@
     shutdown(m_listener, SHUT_RDWR);
     m_acceptor.join();
     close(m_listener);
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const int socket : m_sockets)
-            shutdown(socket, SHUT_RDWR);
-    }
+    closeAll();
     for (std::thread &thread : m_threads)
         thread.join();
 }
 
+void LabTarget::closeAll()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const int socket : m_sockets)
+        shutdown(socket, SHUT_RDWR);
+}
+
+void LabTarget::restart(std::chrono::milliseconds pause)
+{
+    m_record.line(m_id + " crashes");
+    ++m_life;
+    shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    close(m_listener);
+    closeAll();
+    m_judge.ended(m_index);
+    std::this_thread::sleep_for(pause);
+    m_listener = openListener(m_port);
+    m_record.line(m_id + " has started again");
+    m_acceptor = std::thread([this] { accept(); });
+}
+
 std::string LabTarget::address() const
 {
     return std::string(loopbackAddress) + ':' + std::to_string(m_port);
 }
 
-void LabTarget::armLateGrant(std::chrono::milliseconds late, std::function<void()> whenDone)
+void LabTarget::armLateGrant(LateGrant trouble)
 {
     const std::lock_guard lock(m_mutex);
-    m_late = late;
-    m_whenDone = std::move(whenDone);
+    m_lateGrant = std::move(trouble);
 }
 
 void LabTarget::accept()
 {
-    while (!m_stopped) {
+    const int life = m_life;
+    while (alive(life)) {
         const int socket = ::accept(m_listener, nullptr, nullptr);
         if (socket < 0)
             continue;
         const std::lock_guard lock(m_mutex);
         m_sockets.insert(socket);
-        m_threads.emplace_back([this, socket] { serve(socket); });
+        m_threads.emplace_back([this, socket, life] { serve(socket, life); });
     }
 }
 
-void LabTarget::serve(int socket)
+void LabTarget::serve(int socket, int life)
 {
     std::string buffer;
     std::string lastGrantAnswer;
-    while (!m_stopped) {
+    while (alive(life)) {
         std::optional<std::string> message = readMessage(socket, buffer);
-        if (!message || !handle(socket, {std::move(*message), LabClock::now()}, lastGrantAnswer))
+        if (!message || !alive(life)
+            || !handle(socket, life, {std::move(*message), LabClock::now()}, lastGrantAnswer))
             break;
     }
     const std::lock_guard lock(m_mutex);
@@ -333,7 +369,7 @@
     return sendAll(socket, bytes);
 }
 
-bool LabTarget::handle(int socket, const Request &request, std::string &lastGrantAnswer)
+bool LabTarget::handle(int socket, int life, const Request &request, std::string &lastGrantAnswer)
 {
     const std::string instance = "X-Instance-Id: " + m_id + "\r\n";
     if (request.is("GET /health "))
@@ -346,7 +382,7 @@
     if (!expected.empty() && expected != m_id)
         return answer(socket, misdirected);
     if (request.is("POST /grant "))
-        return grant(socket, request, lastGrantAnswer);
+        return grant(socket, life, request, lastGrantAnswer);
     if (request.is("POST /release ")) {
         ++m_counts.orders;
         const std::optional<KeyOrder> order = request.order();
@@ -377,7 +413,7 @@
     return answer(socket, whole);
 }
 
-bool LabTarget::grant(int socket, const Request &request, std::string &lastGrantAnswer)
+bool LabTarget::grant(int socket, int life, const Request &request, std::string &lastGrantAnswer)
 {
     ++m_counts.orders;
     const std::optional<KeyOrder> order = request.order();
@@ -387,26 +423,27 @@
         m_record.line(m_id + " refuses " + text(*order));
         return answer(socket, plainAnswer(statusConflict));
     }
-    std::optional<std::chrono::milliseconds> late;
-    std::function<void()> whenDone;
+    std::optional<LateGrant> trouble;
     if (!lastGrantAnswer.empty()) {
         const std::lock_guard lock(m_mutex);
-        late = std::exchange(m_late, std::nullopt);
-        whenDone = std::exchange(m_whenDone, {});
+        trouble = std::exchange(m_lateGrant, std::nullopt);
     }
-    if (late) {
-        ++m_counts.extraAnswers;
+    if (trouble) {
         ++m_counts.lateGrants;
-        m_record.line(m_id + " gets grant " + text(*order)
-                      + " on a kept connection; sends a second "
-                      + "copy of the answer to the grant before, leaves this one unanswered");
-        const bool sent = sendAll(socket, lastGrantAnswer);
-        whenDone();
-        std::this_thread::sleep_until(request.arrived + *late);
-        if (m_judge.seenHigher(m_index, *order))
+        bool sent = true;
+        m_record.line(m_id + " gets grant " + text(*order) + " on a kept connection"
+                      + (trouble->copyBefore ? ", sends a second copy of the answer before" : "")
+                      + " and leaves it unanswered");
+        if (trouble->copyBefore) {
+            ++m_counts.extraAnswers;
+            sent = sendAll(socket, lastGrantAnswer);
+        }
+        trouble->whenDone();
+        std::this_thread::sleep_until(request.arrived + trouble->late);
+        if (!alive(life) || m_judge.seenHigher(m_index, *order))
             return sent;
-        m_record.line(m_id + " carries out, " + std::to_string(late->count()) + " ms late, grant "
-                      + text(*order));
+        m_record.line(m_id + " carries out, " + std::to_string(trouble->late.count())
+                      + " ms late, grant " + text(*order));
         m_judge.taken(m_index, *order, request.arrived);
         return sent;
     }
--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -65,6 +65,8 @@
     void released(std::size_t target, const KeyOrder &order);
     /// \brief A target begins a request.
     void began(std::size_t target, std::uint32_t key);
+    /// \brief A target has ended: it holds nothing, and its next life knows nothing.
+    void ended(std::size_t target);
     [[nodiscard]] bool holds(std::size_t target, std::uint32_t key);
     /// \brief Whether a target has seen a higher token on one of the keys.
     [[nodiscard]] bool seenHigher(std::size_t target, const KeyOrder &order);
@@ -105,6 +107,14 @@
     std::atomic<std::uint64_t> lateGrants{0};
 };
 
+/// \brief A grant that is left unanswered.
+struct LateGrant
+{
+    std::chrono::milliseconds late{}; ///< From its arrival until it is carried out.
+    bool copyBefore = false; ///< Whether a second copy of the answer before comes in its place.
+    std::function<void()> whenDone; ///< Called on the target's thread once it was left unanswered.
+};
+
 /// \brief A target. Each connection has a thread.
 class LabTarget
 {
@@ -118,20 +128,24 @@
     [[nodiscard]] const std::string &id() const noexcept { return m_id; }
     [[nodiscard]] const std::string &zone() const noexcept { return m_zone; }
     [[nodiscard]] std::string address() const;
-    /// \brief Arms the disruption for the next grant on a connection that has already carried the
-    /// answer to one: a second copy of that answer comes where the next is due, the grant itself
-    /// gets none and is carried out late.
-    /// \param whenDone Called on the target's thread once it has happened.
-    void armLateGrant(std::chrono::milliseconds late, std::function<void()> whenDone);
+    /// \brief Arms a disruption for the next grant on a connection that has already carried the
+    /// answer to one: the grant gets no answer and is carried out late.
+    void armLateGrant(LateGrant trouble);
+    /// \brief Crashes, and starts again at its address after a pause.
+    void restart(std::chrono::milliseconds pause);
 
 private:
     struct Request;
 
+    void listenAgain();
     void accept();
-    void serve(int socket);
+    void closeAll();
+    /// Whether the life in which a connection was accepted goes on.
+    [[nodiscard]] bool alive(int life) const { return !m_stopped && m_life == life; }
+    void serve(int socket, int life);
     /// Handles a request; returns whether the connection goes on.
-    bool handle(int socket, const Request &request, std::string &lastGrantAnswer);
-    bool grant(int socket, const Request &request, std::string &lastGrantAnswer);
+    bool handle(int socket, int life, const Request &request, std::string &lastGrantAnswer);
+    bool grant(int socket, int life, const Request &request, std::string &lastGrantAnswer);
     [[nodiscard]] bool answer(int socket, const std::string &bytes);
 
     Record &m_record;
@@ -142,11 +156,11 @@
     std::string m_zone;
     bool m_keyed; ///< Whether it runs only requests whose key it holds.
     std::uint16_t m_port = 0; ///< Set with the listener, so declared before it.
-    int m_listener = -1;
+    std::atomic<int> m_listener{-1};
     std::atomic<bool> m_stopped{false};
+    std::atomic<int> m_life{1}; ///< Rises with each start.
     std::mutex m_mutex;
-    std::optional<std::chrono::milliseconds> m_late;
-    std::function<void()> m_whenDone;
+    std::optional<LateGrant> m_lateGrant;
     std::set<int> m_sockets;
     std::vector<std::thread> m_threads;
     std::thread m_acceptor;
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -40,6 +40,8 @@
         verdict = falseGrantAnswer(options, record);
     else if (name == "head-requests")
         verdict = headRequests(options, record);
+    else if (name == "reborn-grant")
+        verdict = rebornGrant(options, record);
     record.line(toString(verdict));
     std::puts(toString(verdict));
     return static_cast<int>(verdict);
