review: case 9, an upstream comes back cold while the store is silent (FAILBACK)

Cause: TargetGate counts an upstream as started anew only after a refused connection. One that went dark, so that connections to it timed out, and is back under its id before the store tells of it gets its full part of the traffic. X-Warmup-Ms of the health answers is never read.

--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -26,4 +26,7 @@
 /// leaves unanswered.
 [[nodiscard]] Verdict rebornGrant(const CaseOptions &options, Record &record);
 
+/// \brief Case 9: a target comes back cold while the store is away.
+[[nodiscard]] Verdict coldInSilence(const CaseOptions &options, Record &record);
+
 } // namespace yuccaspan::review
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -24,12 +24,12 @@
     return names;
 }
 
-Json desiredState(bool keyed)
+Json desiredState(const DeploymentPlan &plan)
 {
     const Json route{{"name", "lookup"},
                      {"host", hostName},
                      {"path_prefix", "/lookup/"},
-                     {"route_type", "idempotent"},
+                     {"route_type", plan.idempotent ? "idempotent" : "non_idempotent"},
                      {"timeout_s", 1.0},
                      {"target_latency_s", 0.5},
                      {"priority", 1},
@@ -40,7 +40,7 @@
                        {"max_connections", 110},
                        {"warmup_s", warmupSeconds},
                        {"warmup_per_s", 11.0},
-                       {"sharded", keyed},
+                       {"sharded", plan.keyed},
                        {"warm_s", 3.0},
                        {"protocol", "h1"},
                        {"tls", false}};
@@ -97,18 +97,20 @@
 
 void LabDeployment::publish()
 {
-    m_store.put("config", "main", desiredState(m_plan.keyed));
+    m_store.put("config", "main", desiredState(m_plan));
 }
 
 void LabDeployment::startCallers()
 {
-    for (std::size_t index = 0; index < m_gateways.size(); ++index)
-        m_threads.emplace_back([this, index] { call(index); });
+    for (std::size_t index = 0; index < m_gateways.size(); ++index) {
+        for (std::size_t caller = 0; caller < m_plan.callersPerGateway; ++caller)
+            m_threads.emplace_back([this, index, caller] { call(index, caller); });
+    }
 }
 
-void LabDeployment::call(std::size_t gateway)
+void LabDeployment::call(std::size_t gateway, std::size_t caller)
 {
-    std::mt19937 random(static_cast<unsigned>(gateway) + 1);
+    std::mt19937 random(static_cast<unsigned>(gateway + caller * std::size(zoneNames)) + 1);
     std::uniform_int_distribution<std::uint32_t> anyKey(0, keyCount - 1);
     const std::string zone = zoneNames[gateway];
     std::uint64_t number = 0;
@@ -122,7 +124,7 @@
         }
         if (socket < 0)
             continue;
-        const std::string id = zone + std::to_string(++number);
+        const std::string id = zone + std::to_string(caller) + '-' + std::to_string(++number);
         const std::uint32_t key = anyKey(random);
         ++m_callers.sent;
         std::optional<std::string> answer;
@@ -161,6 +163,12 @@
     return standins::waitUntil(ready, timeout);
 }
 
+void LabDeployment::setStoreSilent(bool silent)
+{
+    m_record.line(silent ? "the store falls silent" : "the store answers again");
+    m_store.setSilent(silent);
+}
+
 void LabDeployment::evacuate(const std::string &zone)
 {
     m_record.line("operator evacuates zone " + zone);
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -30,6 +30,8 @@
 {
     std::size_t targets = 5;
     bool keyed = true; ///< Whether the service is sharded.
+    bool idempotent = true; ///< Whether requests may run more than once.
+    std::size_t callersPerGateway = 1; ///< Each sends 15 requests a second at most.
 };
 
 /// \brief All parts of it. Ends them with itself.
@@ -43,6 +45,8 @@
     [[nodiscard]] bool settled(std::chrono::seconds timeout);
     /// \brief Writes the entry of a target; its life is the given one.
     void registerTarget(std::size_t index, std::int64_t life);
+    /// \brief The store answers nothing, or is well again.
+    void setStoreSilent(bool silent);
     /// \brief Asks to send nothing more to the targets of a zone.
     void evacuate(const std::string &zone);
     [[nodiscard]] bool gatewaysRun();
@@ -60,7 +64,7 @@
 private:
     void publish();
     void startCallers();
-    void call(std::size_t gateway);
+    void call(std::size_t gateway, std::size_t caller);
 
     Record &m_record;
     DeploymentPlan m_plan;
--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -23,6 +24,8 @@
 constexpr const char *loopbackAddress = "127.0.0.1";
 constexpr int listenBacklog = 128;
 constexpr std::size_t readBytes = 16384;
+/// How often the acceptor looks whether it shall end, in milliseconds.
+constexpr int acceptWaitMs = 10;
 /// Time that a request takes at a target.
 constexpr std::chrono::milliseconds workTime{10};
 /// How often a thread that waits for bytes looks whether it shall end.
@@ -309,6 +312,85 @@
         shutdown(socket, SHUT_RDWR);
 }
 
+void LabTarget::goDark()
+{
+    m_record.line(m_id + " falls silent");
+    m_dark = true;
+    // With a full queue, the system drops the packets that open connections.
+    listen(m_listener, 0);
+    constexpr int fillers = 8;
+    for (int index = 0; index < fillers; ++index) {
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        const sockaddr_in peer = socketAddress(address());
+        connect(socket, reinterpret_cast<const sockaddr *>(&peer), sizeof peer);
+        m_fillers.push_back(socket);
+    }
+}
+
+void LabTarget::comeBackCold(std::chrono::milliseconds coldFor, std::size_t crashAbove)
+{
+    for (const int socket : m_fillers)
+        close(socket);
+    m_fillers.clear();
+    ++m_life;
+    m_acceptor.join();
+    closeAll();
+    pollfd waiting{m_listener, POLLIN, 0};
+    while (poll(&waiting, 1, 0) > 0) {
+        const int socket = ::accept(m_listener, nullptr, nullptr);
+        if (socket < 0)
+            break;
+        const linger discard{1, 0};
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        close(socket);
+    }
+    listen(m_listener, listenBacklog);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_coldUntil = LabClock::now() + coldFor;
+        m_crashAbove = crashAbove;
+    }
+    m_record.line(m_id + " has started again and is cold for " + std::to_string(coldFor.count())
+                  + " ms");
+    m_dark = false;
+    m_acceptor = std::thread([this] { accept(); });
+}
+
+bool LabTarget::countCold()
+{
+    const std::lock_guard lock(m_mutex);
+    const LabClock::time_point now = LabClock::now();
+    if (now >= m_coldUntil)
+        return false;
+    m_whileCold.push_back(now);
+    const auto recent =
+        std::count_if(m_whileCold.begin(), m_whileCold.end(), [now](LabClock::time_point at) {
+            return now - at < std::chrono::seconds(1);
+        });
+    return static_cast<std::size_t>(recent) > m_crashAbove;
+}
+
+void LabTarget::crash()
+{
+    m_record.line(m_id + " crashes under the load");
+    ++m_life;
+    shutdown(m_listener, SHUT_RDWR);
+    closeAll();
+}
+
+std::size_t LabTarget::mostWhileCold()
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < m_whileCold.size(); ++last) {
+        while (m_whileCold[last] - m_whileCold[first] >= std::chrono::seconds(1))
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 void LabTarget::restart(std::chrono::milliseconds pause)
 {
     m_record.line(m_id + " crashes");
@@ -339,6 +421,9 @@
 {
     const int life = m_life;
     while (alive(life)) {
+        pollfd waiting{m_listener, POLLIN, 0};
+        if (poll(&waiting, 1, acceptWaitMs) <= 0 || m_dark)
+            continue;
         const int socket = ::accept(m_listener, nullptr, nullptr);
         if (socket < 0)
             continue;
@@ -354,6 +439,8 @@
     std::string lastGrantAnswer;
     while (alive(life)) {
         std::optional<std::string> message = readMessage(socket, buffer);
+        while (m_dark && alive(life))
+            std::this_thread::sleep_for(std::chrono::milliseconds(acceptWaitMs));
         if (!message || !alive(life)
             || !handle(socket, life, {std::move(*message), LabClock::now()}, lastGrantAnswer))
             break;
@@ -404,7 +491,13 @@
     if (m_keyed)
         m_judge.began(m_index, key);
     m_record.line(m_id + " runs " + id + " key " + std::to_string(key));
+    if (countCold()) {
+        crash();
+        return false;
+    }
     std::this_thread::sleep_for(workTime);
+    if (!alive(life))
+        return false;
     const std::string signature = "X-Server-Signature: signed." + id + "\r\n";
     std::string whole = plainAnswer(statusOk, echo + signature, "answer to " + id);
     // The answer to HEAD has the head of the answer to GET, and no body.
@@ -477,6 +570,16 @@
     });
 }
 
+void StoreThread::setSilent(bool silent)
+{
+    m_loop.post([this, silent] {
+        platform_standins::StoreFaults faults;
+        if (silent)
+            faults.outage = platform_standins::StoreOutage::Silent;
+        m_store->setFaults(faults);
+    });
+}
+
 GatewayProcess::GatewayProcess(const std::string &program, const std::string &folder,
                                const std::string &name, const std::string &zone,
                                const std::string &store)
--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -131,14 +131,24 @@
     /// \brief Arms a disruption for the next grant on a connection that has already carried the
     /// answer to one: the grant gets no answer and is carried out late.
     void armLateGrant(LateGrant trouble);
+    /// \brief Is as on a machine without power: no new connection is established, and nothing that
+    /// comes on the open ones is read or answered.
+    void goDark();
+    /// \brief Starts again at its address, with its id, and is cold. Crashes if more requests than
+    /// a limit come within a second of that time.
+    void comeBackCold(std::chrono::milliseconds coldFor, std::size_t crashAbove);
+    /// \brief Most requests that came within a second while it was cold.
+    [[nodiscard]] std::size_t mostWhileCold();
     /// \brief Crashes, and starts again at its address after a pause.
     void restart(std::chrono::milliseconds pause);
 
 private:
     struct Request;
 
-    void listenAgain();
     void accept();
+    /// Counts a request while the target is cold; returns whether it is one too many.
+    bool countCold();
+    void crash();
     void closeAll();
     /// Whether the life in which a connection was accepted goes on.
     [[nodiscard]] bool alive(int life) const { return !m_stopped && m_life == life; }
@@ -161,6 +171,11 @@
     std::atomic<int> m_life{1}; ///< Rises with each start.
     std::mutex m_mutex;
     std::optional<LateGrant> m_lateGrant;
+    std::atomic<bool> m_dark{false};
+    LabClock::time_point m_coldUntil;
+    std::size_t m_crashAbove = 0;
+    std::vector<LabClock::time_point> m_whileCold; ///< When requests came.
+    std::vector<int> m_fillers; ///< Connections that keep the queue of the listener full.
     std::set<int> m_sockets;
     std::vector<std::thread> m_threads;
     std::thread m_acceptor;
@@ -175,6 +190,8 @@
     [[nodiscard]] std::string address() const { return m_store->address(); }
     /// \brief Writes an object as the operator or a target does.
     void put(const std::string &kind, const std::string &name, platform_standins::Json spec);
+    /// \brief Answers nothing and does nothing, or is well again.
+    void setSilent(bool silent);
 
 private:
     standins::EventLoop m_loop;
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -42,6 +42,8 @@
         verdict = headRequests(options, record);
     else if (name == "reborn-grant")
         verdict = rebornGrant(options, record);
+    else if (name == "cold-in-silence")
+        verdict = coldInSilence(options, record);
     record.line(toString(verdict));
     std::puts(toString(verdict));
     return static_cast<int>(verdict);
