--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,9 +6,16 @@
 gateway=target/yuccaspan-gateway
 [ -x "$lab" ] && [ -x "$gateway" ] || exit 2
 folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-timeout 115 "$lab" reborn-grant "$gateway" "$folder" review/8/record.txt "${TROUBLE:-1}"
+driver=
+finish() { [ -n "$driver" ] && kill "$driver" 2>/dev/null; wait; rm -rf "$folder"; }
+trap finish EXIT
+trap 'exit 2' INT TERM
+# The driver ends its gateways when it is ended.
+timeout -k 2 115 "$lab" reborn-grant "$gateway" "$folder" review/8/record.txt "${TROUBLE:-1}" &
+driver=$!
+wait "$driver"
 code=$?
+driver=
 case $code in
 0 | 1) exit $code ;;
 *) exit 2 ;;
--- a/review/standins-2/case_cold_in_silence.cpp
+++ b/review/standins-2/case_cold_return.cpp
@@ -14,12 +14,12 @@
 constexpr double coldBound = 11.0 * 1.5 + 5;
 /// Well above the bound: half as much again.
 constexpr std::size_t crashAbove = 32;
-/// Time from the silence of the store to that of the upstream.
+/// Time from the outage of the store to that of the upstream.
 constexpr std::chrono::milliseconds lead{500};
 
 } // namespace
 
-Verdict coldInSilence(const CaseOptions &options, Record &record)
+Verdict coldReturn(const CaseOptions &options, Record &record)
 {
     LabDeployment deployment(options, record, {targetCount, false, false, callersPerGateway});
     if (!deployment.settled(settleTimeout)) {
@@ -29,7 +29,7 @@
     std::this_thread::sleep_for(std::chrono::seconds(5));
     LabTarget &target = deployment.target(0);
     if (options.trouble)
-        deployment.setStoreSilent(true);
+        deployment.setStoreBusy(true);
     std::this_thread::sleep_for(lead);
     target.goDark();
     std::this_thread::sleep_for(darkTime);
@@ -39,7 +39,7 @@
         deployment.registerTarget(0, secondLife);
     std::this_thread::sleep_for(coldTime);
     if (options.trouble) {
-        deployment.setStoreSilent(false);
+        deployment.setStoreBusy(false);
         deployment.registerTarget(0, secondLife);
     }
     std::this_thread::sleep_for(std::chrono::seconds(2));
--- a/review/standins-2/case_reborn_grant.cpp
+++ b/review/standins-2/case_reborn_grant.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds cutLeft{300};
 /// "may be applied seconds later": the kinds say 2 to 12 s.
 constexpr std::chrono::milliseconds lateness{2500};
+/// An entry goes after three check-in intervals of silence, of 0.87 s each.
+constexpr std::chrono::milliseconds maxCut{2610};
 /// Time to watch after the cut; longer than any grant lasts.
 constexpr std::chrono::seconds watchTime{9};
 
@@ -53,7 +55,7 @@
                 + std::to_string(deployment.judge().longestShared())
                 + " s; requests begun on shared keys: "
                 + std::to_string(deployment.judge().sharedStarts()));
-    if (!armed || !run)
+    if (!armed || !run || cut > maxCut)
         return Verdict::NotRun;
     return deployment.judge().staleTakes() > 0 ? Verdict::Broken : Verdict::Held;
 }
--- a/review/standins-2/cases.hpp
+++ b/review/standins-2/cases.hpp
@@ -27,6 +27,6 @@
 [[nodiscard]] Verdict rebornGrant(const CaseOptions &options, Record &record);
 
 /// \brief Case 9: a target comes back cold while the store is away.
-[[nodiscard]] Verdict coldInSilence(const CaseOptions &options, Record &record);
+[[nodiscard]] Verdict coldReturn(const CaseOptions &options, Record &record);
 
 } // namespace yuccaspan::review
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -163,10 +163,10 @@
     return standins::waitUntil(ready, timeout);
 }
 
-void LabDeployment::setStoreSilent(bool silent)
+void LabDeployment::setStoreBusy(bool busy)
 {
-    m_record.line(silent ? "the store falls silent" : "the store answers again");
-    m_store.setSilent(silent);
+    m_record.line(busy ? "the store answers 503 to all calls" : "the store answers again");
+    m_store.setBusy(busy);
 }
 
 void LabDeployment::evacuate(const std::string &zone)
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -45,8 +45,8 @@
     [[nodiscard]] bool settled(std::chrono::seconds timeout);
     /// \brief Writes the entry of a target; its life is the given one.
     void registerTarget(std::size_t index, std::int64_t life);
-    /// \brief The store answers nothing, or is well again.
-    void setStoreSilent(bool silent);
+    /// \brief The store answers 503 to all calls, or is well again.
+    void setStoreBusy(bool busy);
     /// \brief Asks to send nothing more to the targets of a zone.
     void evacuate(const std::string &zone);
     [[nodiscard]] bool gatewaysRun();
--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -72,13 +72,13 @@
     return ntohs(address.sin_port);
 }
 
-/// Opens a port, or a free one if it is 0.
-int openListener(std::uint16_t &port)
+/// Opens a port of a loopback address, or a free one if it is 0.
+int openListener(const std::string &ip, std::uint16_t &port)
 {
     const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
     const int yes = 1;
     setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-    sockaddr_in address = socketAddress(std::string(loopbackAddress) + ':' + std::to_string(port));
+    sockaddr_in address = socketAddress(ip + ':' + std::to_string(port));
     if (bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
         || listen(listener, listenBacklog) != 0)
         return -1;
@@ -86,11 +86,21 @@
     return listener;
 }
 
+/// A loopback address of this process alone, so that no other socket takes a port that was free.
+std::string ownAddress()
+{
+    constexpr int octets = 250;
+    const int process = getpid();
+    return "127." + std::to_string(1 + process / octets % octets) + '.'
+        + std::to_string(1 + process % octets) + '.' + std::to_string(1 + startedCount);
+}
+
 std::string freeAddress()
 {
     std::uint16_t port = 0;
-    close(openListener(port));
-    return std::string(loopbackAddress) + ':' + std::to_string(port);
+    const std::string ip = ownAddress();
+    close(openListener(ip, port));
+    return ip + ':' + std::to_string(port);
 }
 
 std::string statusLine(unsigned status)
@@ -289,7 +299,7 @@
       m_id(std::move(id)),
       m_zone(std::move(zone)),
       m_keyed(keyed),
-      m_listener(openListener(m_port))
+      m_listener(openListener(loopbackAddress, m_port))
 {
     m_acceptor = std::thread([this] { accept(); });
 }
@@ -303,6 +313,8 @@
     closeAll();
     for (std::thread &thread : m_threads)
         thread.join();
+    if (m_lateThread.joinable())
+        m_lateThread.join();
 }
 
 void LabTarget::closeAll()
@@ -370,6 +382,44 @@
     return static_cast<std::size_t>(recent) > m_crashAbove;
 }
 
+std::string LabTarget::warmupField()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_coldUntil - LabClock::now());
+    return left.count() > 0 ? "X-Warmup-Ms: " + std::to_string(left.count()) + "\r\n"
+                            : std::string();
+}
+
+void LabTarget::setWork(std::uint32_t key, int change)
+{
+    const std::lock_guard lock(m_mutex);
+    m_work[key] += change;
+}
+
+void LabTarget::awaitWork(const KeyOrder &order)
+{
+    const auto busy = [this, &order] {
+        const std::lock_guard lock(m_mutex);
+        return std::any_of(m_work.lower_bound(order.first), m_work.upper_bound(order.last),
+                           [](const auto &work) { return work.second > 0; });
+    };
+    while (busy() && !m_stopped)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
+void LabTarget::carryOut(int life, const KeyOrder &order, LabClock::time_point arrived,
+                         std::chrono::milliseconds late)
+{
+    std::this_thread::sleep_until(arrived + late);
+    const std::chrono::duration<double> since = LabClock::now() - arrived;
+    if (!alive(life) || since.count() >= order.holdSeconds || m_judge.seenHigher(m_index, order))
+        return;
+    m_record.line(m_id + " carries out, " + std::to_string(late.count()) + " ms late, grant "
+                  + text(order));
+    m_judge.taken(m_index, order, arrived);
+}
+
 void LabTarget::crash()
 {
     m_record.line(m_id + " crashes under the load");
@@ -401,7 +451,7 @@
     closeAll();
     m_judge.ended(m_index);
     std::this_thread::sleep_for(pause);
-    m_listener = openListener(m_port);
+    m_listener = openListener(loopbackAddress, m_port);
     m_record.line(m_id + " has started again");
     m_acceptor = std::thread([this] { accept(); });
 }
@@ -460,7 +510,7 @@
 {
     const std::string instance = "X-Instance-Id: " + m_id + "\r\n";
     if (request.is("GET /health "))
-        return answer(socket, plainAnswer(statusOk, instance));
+        return answer(socket, plainAnswer(statusOk, instance + warmupField()));
     const std::string expected = headerOf(request.text, "X-Expected-Instance");
     const std::string id = headerOf(request.text, "X-Request-Id");
     const std::string echo = id.empty() ? std::string() : "X-Request-Id: " + id + "\r\n";
@@ -477,8 +527,7 @@
             return false;
         m_judge.released(m_index, *order);
         m_record.line(m_id + " releases " + text(*order));
-        // Work that was running on these keys ends first.
-        std::this_thread::sleep_for(workTime);
+        awaitWork(*order);
         return answer(socket,
                       plainAnswer(statusOk,
                                   echo + "X-Lease-Handover: " + m_id + '.'
@@ -495,7 +544,9 @@
         crash();
         return false;
     }
+    setWork(key, 1);
     std::this_thread::sleep_for(workTime);
+    setWork(key, -1);
     if (!alive(life))
         return false;
     const std::string signature = "X-Server-Signature: signed." + id + "\r\n";
@@ -531,13 +582,10 @@
             ++m_counts.extraAnswers;
             sent = sendAll(socket, lastGrantAnswer);
         }
+        m_lateThread =
+            std::thread([this, life, order = *order, arrived = request.arrived,
+                         late = trouble->late] { carryOut(life, order, arrived, late); });
         trouble->whenDone();
-        std::this_thread::sleep_until(request.arrived + trouble->late);
-        if (!alive(life) || m_judge.seenHigher(m_index, *order))
-            return sent;
-        m_record.line(m_id + " carries out, " + std::to_string(trouble->late.count())
-                      + " ms late, grant " + text(*order));
-        m_judge.taken(m_index, *order, request.arrived);
         return sent;
     }
     m_judge.taken(m_index, *order, request.arrived);
@@ -551,7 +599,7 @@
 {
     auto store = platform_standins::StoreStandin::create(m_loop);
     if (!store)
-        std::exit(static_cast<int>(Verdict::NotRun));
+        endRun(0);
     m_store = std::move(*store);
     m_thread = std::thread([this] { m_loop.run(); });
 }
@@ -570,12 +618,12 @@
     });
 }
 
-void StoreThread::setSilent(bool silent)
+void StoreThread::setBusy(bool busy)
 {
-    m_loop.post([this, silent] {
+    m_loop.post([this, busy] {
         platform_standins::StoreFaults faults;
-        if (silent)
-            faults.outage = platform_standins::StoreOutage::Silent;
+        if (busy)
+            faults.outage = platform_standins::StoreOutage::Busy;
         m_store->setFaults(faults);
     });
 }
@@ -613,7 +661,7 @@
     auto process = standins::Process::start({program}, folder + '/' + name + ".log");
     if (!process) {
         std::fprintf(stderr, "cannot start %s\n", program.c_str());
-        std::exit(static_cast<int>(Verdict::NotRun));
+        endRun(0);
     }
     m_process = std::move(*process);
     startedProcesses[startedCount % maxProcesses] = m_process->pid();
@@ -643,6 +691,8 @@
     std::signal(SIGTERM, endRun);
     std::signal(SIGINT, endRun);
     std::signal(SIGALRM, endRun);
+    std::signal(SIGABRT, endRun);
+    std::signal(SIGSEGV, endRun);
     alarm(static_cast<unsigned>(limit.count()));
 }
 
--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -149,6 +150,15 @@
     /// Counts a request while the target is cold; returns whether it is one too many.
     bool countCold();
     void crash();
+    /// What the health answer says of the time for which it stays cold; empty if it isn't.
+    std::string warmupField();
+    /// Counts the requests that run on a key.
+    void setWork(std::uint32_t key, int change);
+    /// Waits until no request runs on the keys.
+    void awaitWork(const KeyOrder &order);
+    /// Carries out a grant that was left unanswered.
+    void carryOut(int life, const KeyOrder &order, LabClock::time_point arrived,
+                  std::chrono::milliseconds late);
     void closeAll();
     /// Whether the life in which a connection was accepted goes on.
     [[nodiscard]] bool alive(int life) const { return !m_stopped && m_life == life; }
@@ -177,7 +187,9 @@
     std::vector<LabClock::time_point> m_whileCold; ///< When requests came.
     std::vector<int> m_fillers; ///< Connections that keep the queue of the listener full.
     std::set<int> m_sockets;
+    std::map<std::uint32_t, int> m_work; ///< Running requests by key.
     std::vector<std::thread> m_threads;
+    std::thread m_lateThread;
     std::thread m_acceptor;
 };
 
@@ -190,8 +202,8 @@
     [[nodiscard]] std::string address() const { return m_store->address(); }
     /// \brief Writes an object as the operator or a target does.
     void put(const std::string &kind, const std::string &name, platform_standins::Json spec);
-    /// \brief Answers nothing and does nothing, or is well again.
-    void setSilent(bool silent);
+    /// \brief Answers 503 to all calls, or is well again.
+    void setBusy(bool busy);
 
 private:
     standins::EventLoop m_loop;
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -42,8 +42,8 @@
         verdict = headRequests(options, record);
     else if (name == "reborn-grant")
         verdict = rebornGrant(options, record);
-    else if (name == "cold-in-silence")
-        verdict = coldInSilence(options, record);
+    else if (name == "cold-return")
+        verdict = coldReturn(options, record);
     record.line(toString(verdict));
     std::puts(toString(verdict));
     return static_cast<int>(verdict);
