Log which incarnation an unanswered order was meant for, and on what connection

Hypotheses that they now tell apart: the answer was believed for the wrong order; the connection had carried answers of a later incarnation only; the move didn't wait for the bound of the hold, or the bound was never raised.

grant and release lines: incarnation, listedIncarnation, connectionMs, earlierAnswers. move lines: uncertainMs, restartUncertainMs (how long unanswered grants to the previous owner count).

--- a/src/gateway/control_placing.cpp
+++ b/src/gateway/control_placing.cpp
@@ -45,6 +45,11 @@
     return std::chrono::duration_cast<Duration>(wall) - now.time_since_epoch();
 }
 
+double milliseconds(Duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
 nlohmann::json keysJson(const KeySpan &keys)
 {
     return nlohmann::json::array({keys.first, keys.last});
@@ -217,13 +222,11 @@
     const std::optional<LoopReport> report = m_gateway.loopWatch.takeReport(now);
     if (!report)
         return;
-    using Milliseconds = std::chrono::duration<double, std::milli>;
     nlohmann::json spent = nlohmann::json::object();
     for (const auto &[duty, name] : EnumNames<Duty>::table)
-        spent[std::string(name)] =
-            Milliseconds(report->spent[static_cast<std::size_t>(duty)]).count();
+        spent[std::string(name)] = milliseconds(report->spent[static_cast<std::size_t>(duty)]);
     m_gateway.log.write("lifecycle", "loop-late",
-                        {{"lagMs", Milliseconds(report->lag).count()},
+                        {{"lagMs", milliseconds(report->lag)},
                          {"spentMs", std::move(spent)},
                          {"active", m_gateway.active},
                          {"sessions", m_gateway.callers->open()}});
@@ -332,7 +335,9 @@
                              {"to", note.to},
                              {"fence", note.fence},
                              {"directory", m_gateway.directory.version()},
-                             {"reason", note.reason}});
+                             {"reason", note.reason},
+                             {"uncertainMs", milliseconds(note.uncertain)},
+                             {"restartUncertainMs", milliseconds(note.restartUncertain)}});
     }
     for (ShardOrder &order : out.orders)
         asio::co_spawn(m_gateway.loop, executeOrder(service, placing.id, std::move(order)),
@@ -393,6 +398,8 @@
     const Target *target = m_gateway.directory.find(order.holder.target);
     OrderOutcome outcome = OrderOutcome::NotSent;
     std::string handover;
+    Duration connectionAge{};
+    std::uint32_t earlierAnswers = 0;
     const TimePoint sentAt = m_gateway.now();
     if (target != nullptr && placing() && sentAt < order.sendBefore) {
         const std::shared_ptr<LiveTarget> live = m_gateway.liveTarget(*target);
@@ -419,6 +426,8 @@
         const CallResult result =
             co_await live->orders->call(m_gateway.protocol.order(order), std::move(options));
         outcome = outcomeOf(result);
+        connectionAge = result.connectionAge;
+        earlierAnswers = result.earlierResponses;
         if (outcome == OrderOutcome::Done && order.kind == OrderKind::Release)
             handover = m_gateway.protocol.handover(result.response);
     }
@@ -426,13 +435,17 @@
     const bool noteworthy = order.kind == OrderKind::Release || outcome != OrderOutcome::Done
         || !order.handover.empty();
     if (noteworthy) {
-        using Milliseconds = std::chrono::duration<double, std::milli>;
+        const Target *listed = m_gateway.directory.find(order.holder.target);
         m_gateway.log.write("placement", toString(order.kind),
                             {{"service", service},
                              {"keys", keysJson(order.keys)},
                              {"target", order.holder.target},
+                             {"incarnation", order.holder.incarnation},
+                             {"listedIncarnation", listed ? listed->entry.incarnation : 0},
                              {"fence", order.holder.fence},
-                             {"tookMs", Milliseconds(m_gateway.now() - sentAt).count()},
+                             {"connectionMs", milliseconds(connectionAge)},
+                             {"earlierAnswers", earlierAnswers},
+                             {"tookMs", milliseconds(m_gateway.now() - sentAt)},
                              {"outcome", toString(outcome)}});
     }
     Placing *const placing = findPlacing(service, id);
--- a/src/gateway/http_call.cpp
+++ b/src/gateway/http_call.cpp
@@ -185,6 +185,7 @@
     refused = failure == asio::error::connection_refused;
     if (failure)
         co_return nullptr;
+    connection->openedAt = std::chrono::steady_clock::now();
     setProbes(connection->stream.socket(), m_options.lostProbes);
     resetOnClose(connection->stream.socket());
     co_return connection;
@@ -240,6 +241,9 @@
             connection->close();
         });
     }
+    result.connectionAge = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now()
+                                                                - connection->openedAt);
+    result.earlierResponses = connection->responses;
     const auto sending = std::make_shared<Sending>();
     sending->request = std::move(request);
     connection->stream.expires_at(end);
@@ -287,6 +291,7 @@
         if (endsWithConnection && !endedInOrder(connection->stream.socket()))
             break;
         result.response = parser.release();
+        ++connection->responses;
         if (options.onResponse)
             options.onResponse(result.response);
         if (options.belongs && !options.belongs(result.response))
--- a/src/gateway/http_call.hpp
+++ b/src/gateway/http_call.hpp
@@ -30,6 +30,8 @@
     CallEnd end = CallEnd::NotSent;
     bool reused = false; ///< Sent on a pooled connection.
     bool refused = false; ///< The connection was refused.
+    Duration connectionAge{}; ///< Age of the connection when the call was sent on it.
+    std::uint32_t earlierResponses = 0; ///< Final responses that the connection had carried before.
     std::optional<unsigned> invalidStatus; ///< Status that the protocol does not have; then Broken.
     HttpResponse response;
     MessageMemory::Share memory; ///< Of the response.
@@ -47,6 +49,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::chrono::steady_clock::time_point idleUntil{};
+    std::chrono::steady_clock::time_point openedAt{};
+    std::uint32_t responses = 0; ///< Final responses that it has carried.
 
     /// \brief Whether the connection is open and has no unread data.
     [[nodiscard]] bool reusable();
--- a/src/gateway/shard_placer.cpp
+++ b/src/gateway/shard_placer.cpp
@@ -232,7 +232,7 @@
 }
 
 void ShardPlacer::beginMove(std::size_t index, const Target &receiver, std::string_view reason,
-                            PlacerOutput &out)
+                            PlacerOutput &out, TimePoint now)
 {
     Slot &slot = m_slots[index];
     slot.range.next = Holder{receiver.entry.id, receiver.entry.incarnation, ++m_lastFence};
@@ -240,9 +240,15 @@
     slot.needsWrite = true;
     slot.failedGrants = 0;
     slot.nextHold = {};
-    out.notes.push_back({"move", slot.range.keys,
-                         slot.range.owner ? slot.range.owner->target : std::string(),
-                         receiver.entry.id, slot.range.next->fence, reason});
+    PlacementNote note{"move",
+                       slot.range.keys,
+                       slot.range.owner ? slot.range.owner->target : std::string(),
+                       receiver.entry.id,
+                       slot.range.next->fence,
+                       reason};
+    note.uncertain = std::max(slot.hold.uncertainUntil - now, Duration{});
+    note.restartUncertain = std::max(slot.hold.restartUncertainUntil - now, Duration{});
+    out.notes.push_back(std::move(note));
 }
 
 void ShardPlacer::advance(Slot &slot, const PlacementView &view, PlacerOutput &out, TimePoint now)
@@ -352,7 +358,7 @@
         slot.handover.clear();
     }
     const auto index = static_cast<std::size_t>(&slot - m_slots.data());
-    beginMove(index, *view.directory.find(*receiver), "next owner does not answer", out);
+    beginMove(index, *view.directory.find(*receiver), "next owner does not answer", out, now);
 }
 
 void ShardPlacer::sendGrant(Slot &slot, const Holder &holder, const Target &target,
--- a/src/gateway/shard_placer.hpp
+++ b/src/gateway/shard_placer.hpp
@@ -56,6 +56,10 @@
     std::string to; ///< New owner, or empty.
     std::uint64_t fence = 0;
     std::string_view reason; ///< Also a label value of the metrics.
+    /// For how long unanswered grants to the previous owner may still take effect.
+    Duration uncertain{};
+    /// The same for those that a later incarnation with its id may execute.
+    Duration restartUncertain{};
 };
 
 /// \brief Actions that a placer requests.
@@ -240,10 +244,10 @@
     [[nodiscard]] std::optional<std::size_t> heaviestMovable(const std::string &owner,
                                                              TimePoint now) const;
     void beginMove(std::size_t slot, const Target &receiver, std::string_view reason,
-                   PlacerOutput &out);
+                   PlacerOutput &out, TimePoint now);
     void assignTo(const std::string &receiver, std::size_t slot, double work,
                   std::string_view reason, const PlacementView &view, PlannedLoads &plannedLoads,
-                  PlacerOutput &out);
+                  PlacerOutput &out, TimePoint now);
     void splitSlot(std::size_t slot, std::uint32_t firstOfSecond, const PlacementView &view,
                    TimePoint now);
     void mergeNeighbours();
--- a/src/gateway/shard_plan.cpp
+++ b/src/gateway/shard_plan.cpp
@@ -236,12 +236,12 @@
 /// Starts a move and counts its keys and their work towards the receiver.
 void ShardPlacer::assignTo(const std::string &receiver, std::size_t index, double work,
                            std::string_view reason, const PlacementView &view,
-                           PlannedLoads &plannedLoads, PlacerOutput &out)
+                           PlannedLoads &plannedLoads, PlacerOutput &out, TimePoint now)
 {
     PlannedLoad &receiverLoad = plannedLoads[receiver];
     receiverLoad.work += work;
     receiverLoad.keys += m_slots[index].range.keys.size();
-    beginMove(index, *view.directory.find(receiver), reason, out);
+    beginMove(index, *view.directory.find(receiver), reason, out, now);
 }
 
 void ShardPlacer::reassignUnusable(const PlacementView &view, PlannedLoads &plannedLoads,
@@ -278,7 +278,7 @@
                 splitSlot(index, at, view, now);
                 const double work = m_slots[index].work;
                 if (const auto receiver = chooseReceiver(plannedLoads, work))
-                    assignTo(*receiver, index, work, "owner leaves", view, plannedLoads, out);
+                    assignTo(*receiver, index, work, "owner leaves", view, plannedLoads, out, now);
                 ++index;
             }
         }
@@ -298,7 +298,7 @@
         }
         const std::string_view leaveReason = ended ? "owner ended" : "owner leaves";
         assignTo(*receiver, index, work, restarted ? "owner started again" : leaveReason, view,
-                 plannedLoads, out);
+                 plannedLoads, out, now);
     }
 }
 
@@ -346,7 +346,7 @@
         donor->ownerLoad->keys -= std::min(donor->ownerLoad->keys, moved.range.keys.size());
         donor->work -= work;
         donor->keys -= moved.range.keys.size();
-        assignTo(id, index + 1, work, "target has no keys", view, plannedLoads, out);
+        assignTo(id, index + 1, work, "target has no keys", view, plannedLoads, out, now);
         ++moves;
     }
 }
@@ -437,7 +437,7 @@
         splitSlot(index++, at, view, now);
     from.work -= moved;
     from.keys -= std::min(from.keys, moving.size());
-    assignTo(*receiver, index, moved, "owner is overloaded", view, plannedLoads, out);
+    assignTo(*receiver, index, moved, "owner is overloaded", view, plannedLoads, out, now);
     return true;
 }
 
@@ -468,7 +468,7 @@
             break;
         from.work -= work;
         from.keys -= std::min(from.keys, span.size());
-        assignTo(*receiver, index, work, "beside a hot key", view, plannedLoads, out);
+        assignTo(*receiver, index, work, "beside a hot key", view, plannedLoads, out, now);
         moved = true;
     }
     return moved;
