Soak: a pause asked of an instance ends when all instances are killed

Trace, gateway-2: target-says at 2997.013 (pause 2.242 s, to 2999.255), killed with all instances, started again at 2999.070, the six requests between 2999.15 and 2999.25. Troubles::endInstance tells the ledger so for a single kill; killAll didn't.

No new test: the check itself (test_signal_watch) is unchanged, and killAll runs only in the soak.

--- a/soak/troubles.cpp
+++ b/soak/troubles.cpp
@@ -495,6 +495,7 @@
     for (Instance &instance : m_deployment.instances()) {
         m_deployment.ledger().stopping(instance.name, false);
         instance.process.reset();
+        m_deployment.ledger().disturbed(instance.name);
     }
     co_await pause(between(200, 1500));
     for (Instance &instance : m_deployment.instances()) {
